--- /dev/null
+++ b/internal/adapter/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller reads callers' HTTP requests and answers look-ups.
+package caller
--- /dev/null
+++ b/internal/adapter/caller/inbound.go
@@ -0,0 +1,202 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/daisygap/daisygap"
+)
+
+const (
+	// MaxBody is the largest request body in bytes.
+	MaxBody = 64 << 20
+	// headBytes of a body are read before a slot is taken, so that slow senders of small requests hold none.
+	headBytes = 64 << 10
+	maxID     = 64
+	maxKey    = 256
+)
+
+// Inbound is one request as it came in, with what the decisions need to know.
+type Inbound struct {
+	Request *daisygap.Request
+	Kind    daisygap.Kind
+	Address netip.Addr
+	// Origin is the region of the daemon that handed the request over, or "".
+	Origin string
+	// Head is the first part of the body; Whole tells that it is all of it.
+	Head  []byte
+	Whole bool
+	HTTP  *http.Request
+}
+
+// Problem is why a request can't be read.
+type Problem struct {
+	Reason daisygap.Reason
+	Text   string
+}
+
+// Reader turns HTTP requests into Inbounds; set the fields before the first use.
+type Reader struct {
+	Clock *daisygap.Clock
+	Trust []netip.Prefix
+}
+
+// Read recognises a request; hop tells that another daemon handed it over.
+func (d *Reader) Read(c *daisygap.Configuration, r *http.Request, hop bool) (*Inbound, *Problem) {
+	in := &Inbound{HTTP: r, Address: remoteAddress(r)}
+	in.Request = &daisygap.Request{ID: r.Header.Get(daisygap.HeaderID)}
+	if in.Request.ID == "" {
+		in.Request.ID = uuid.NewString()
+	}
+	if len(in.Request.ID) > maxID || len(r.Header.Get(daisygap.HeaderKey)) > maxKey {
+		in.Request.ID = in.Request.ID[:min(len(in.Request.ID), maxID)]
+		return in, &Problem{daisygap.ReasonBadRequest, "the request ID or the idempotency key is too long"}
+	}
+	name, kind, ok := Recognise(c, r)
+	if !ok {
+		return in, &Problem{daisygap.ReasonUnknownKind, "no kind of work matches the host, method and path"}
+	}
+	in.Kind = kind
+	in.Request.Kind, in.Request.Rank, in.Request.Repeat = name, kind.Rank, kind.Repeat
+	in.Request.Key = r.Header.Get(daisygap.HeaderKey)
+	left, problem := deadline(r, kind)
+	if problem != nil {
+		return in, problem
+	}
+	in.Request.Deadline = d.Clock.Now() + left
+	d.identify(in, r, hop)
+	return in, d.readHead(in, r)
+}
+
+// identify sets who is asking; only trusted senders and other daemons may name a caller.
+func (d *Reader) identify(in *Inbound, r *http.Request, hop bool) {
+	in.Request.Caller = in.Address.String()
+	if !hop && !d.trusted(in.Address) {
+		return
+	}
+	if name := r.Header.Get(daisygap.HeaderCaller); name != "" {
+		in.Request.Caller = name[:min(len(name), maxID)]
+		if address, err := netip.ParseAddr(name); err == nil {
+			in.Address = address.Unmap()
+		}
+	}
+	if hop {
+		in.Request.Hop = 1
+		in.Origin = r.Header.Get(daisygap.HeaderHop)
+	}
+}
+
+func (d *Reader) trusted(address netip.Addr) bool {
+	for _, p := range d.Trust {
+		if p.Contains(address) {
+			return true
+		}
+	}
+	return false
+}
+
+// readHead reads the start of the body and computes the fingerprint.
+func (d *Reader) readHead(in *Inbound, r *http.Request) *Problem {
+	if r.ContentLength > MaxBody {
+		return &Problem{daisygap.ReasonTooLarge, "the body is larger than 64 MiB"}
+	}
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		in.Whole = true
+		in.Request.Print = fingerprint(r, nil)
+		return nil
+	}
+	head, err := io.ReadAll(io.LimitReader(r.Body, headBytes+1))
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return &Problem{daisygap.ReasonTooLarge, "the body is larger than 64 MiB"}
+		}
+		return &Problem{daisygap.ReasonBadRequest, "the body broke off: " + err.Error()}
+	}
+	in.Head = head
+	in.Whole = len(head) <= headBytes
+	in.Request.Print = fingerprint(r, head)
+	return nil
+}
+
+// Body returns a reader of the whole body and its length, or -1 when that isn't known.
+func (in *Inbound) Body() (io.Reader, int64) {
+	if in.Whole {
+		return bytes.NewReader(in.Head), int64(len(in.Head))
+	}
+	return io.MultiReader(bytes.NewReader(in.Head), in.HTTP.Body), in.HTTP.ContentLength
+}
+
+// Recognise returns the kind whose longest matching path prefix is the longest.
+func Recognise(c *daisygap.Configuration, r *http.Request) (string, daisygap.Kind, bool) {
+	best, found, length := "", daisygap.Kind{}, -1
+	host, _, err := net.SplitHostPort(r.Host)
+	if err != nil {
+		host = r.Host
+	}
+	for name, kind := range c.Kinds {
+		for _, m := range kind.Match {
+			if !matches(m, host, r) {
+				continue
+			}
+			weight := 4*len(m.Path) + 2*min(len(m.Host), 1) + min(len(m.Method), 1)
+			if weight > length || (weight == length && name < best) {
+				best, found, length = name, kind, weight
+			}
+		}
+	}
+	return best, found, length >= 0
+}
+
+func matches(m daisygap.Match, host string, r *http.Request) bool {
+	if m.Host != "" && !strings.EqualFold(m.Host, host) {
+		return false
+	}
+	if m.Method != "" && m.Method != r.Method {
+		return false
+	}
+	return strings.HasPrefix(r.URL.Path, m.Path)
+}
+
+// deadline returns the time left: what the caller says, at most what the kind allows, or the kind's target.
+func deadline(r *http.Request, k daisygap.Kind) (daisygap.Millis, *Problem) {
+	text := r.Header.Get(daisygap.HeaderDeadline)
+	if text == "" {
+		return k.Target, nil
+	}
+	left, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || left < 0 {
+		return 0, &Problem{daisygap.ReasonBadRequest, daisygap.HeaderDeadline + " must be milliseconds from 0"}
+	}
+	return min(daisygap.Millis(left), k.Most), nil
+}
+
+// fingerprint is the same for the same request sent again, and differs for others.
+func fingerprint(r *http.Request, head []byte) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(r.Method)
+	_, _ = h.WriteString("\x00" + r.URL.Path + "\x00" + r.URL.RawQuery + "\x00")
+	var size [8]byte
+	binary.BigEndian.PutUint64(size[:], uint64(len(head)))
+	_, _ = h.Write(size[:])
+	_, _ = h.Write(head)
+	return h.Sum64()
+}
+
+func remoteAddress(r *http.Request) netip.Addr {
+	ap, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return netip.IPv4Unspecified()
+	}
+	return ap.Addr().Unmap()
+}
--- /dev/null
+++ b/internal/adapter/caller/lookup.go
@@ -0,0 +1,81 @@
+package caller
+
+import (
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/policy/routing"
+)
+
+// LookupPath is where callers ask for entry hosts.
+const LookupPath = "/v1/lookup"
+
+// Lookup answers look-ups from the current table.
+type Lookup struct {
+	// Table returns the current table, or nil before the first configuration.
+	Table func() *routing.Table
+	// Refuse writes a refusal.
+	Refuse func(w http.ResponseWriter, reason daisygap.Reason, text string)
+}
+
+// ServeHTTP answers GET /v1/lookup?kind=K with the entry hosts for the caller's block; caller=ADDRESS asks for another block.
+func (l *Lookup) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		w.Header().Set("Allow", "GET, HEAD")
+		l.Refuse(w, daisygap.ReasonBadRequest, "look-ups are GET requests")
+		return
+	}
+	table := l.Table()
+	if table == nil {
+		l.Refuse(w, daisygap.ReasonNoConfiguration, "this daemon has no configuration yet")
+		return
+	}
+	kind, other, ok := parseQuery(r.URL.RawQuery)
+	if !ok {
+		l.Refuse(w, daisygap.ReasonBadRequest, "expected kind=K and, for another block, caller=ADDRESS")
+		return
+	}
+	address := other
+	if !address.IsValid() {
+		address = remoteAddress(r)
+	}
+	answer := table.Lookup(address, kind)
+	if answer == nil {
+		if !table.KnowsKind(kind) {
+			l.Refuse(w, daisygap.ReasonUnknownKind, "the configuration names no kind "+strconv.Quote(kind))
+			return
+		}
+		l.Refuse(w, daisygap.ReasonNoCapacity, "no entry host may serve this kind now")
+		return
+	}
+	h := w.Header()
+	h["Content-Type"] = jsonType
+	h["Cache-Control"] = answer.CacheHeader
+	h["Content-Length"] = answer.LengthHeader
+	_, _ = w.Write(answer.Body)
+}
+
+var jsonType = []string{"application/json"}
+
+// parseQuery reads kind and caller without building a map.
+func parseQuery(query string) (kind string, address netip.Addr, ok bool) {
+	for query != "" {
+		var pair string
+		pair, query, _ = strings.Cut(query, "&")
+		name, value, _ := strings.Cut(pair, "=")
+		switch name {
+		case "kind":
+			kind = value
+		case "caller":
+			a, err := netip.ParseAddr(value)
+			if err != nil {
+				return "", netip.Addr{}, false
+			}
+			address = a.Unmap()
+		}
+	}
+	return kind, address, kind != ""
+}
--- /dev/null
+++ b/internal/adapter/operator/client.go
@@ -0,0 +1,138 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/daisygap/daisygap"
+)
+
+const maxAnswer = 64 << 20
+
+// ErrToken is returned when a write is refused for its token.
+var ErrToken = errors.New("the token isn't the one in the daemon's settings; give it with --token")
+
+// Client calls a daemon's operator face; its errors are those of daisygap.Operations, ErrToken, or name the step and the peer.
+type Client struct {
+	// Base is the URL of the operator face.
+	Base  string
+	Token string
+	HTTP  *http.Client
+}
+
+// Status fetches what the daemon knows.
+func (c *Client) Status(ctx context.Context) (daisygap.Status, error) {
+	var s daisygap.Status
+	err := c.get(ctx, "status", nil, &s)
+	return s, err
+}
+
+// Document fetches the configuration in force and its version.
+func (c *Client) Document(ctx context.Context) (uint64, json.RawMessage, error) {
+	var a configAnswer
+	err := c.get(ctx, "config", nil, &a)
+	return a.Version, a.Document, err
+}
+
+// History fetches the patches after a version.
+func (c *Client) History(ctx context.Context, since uint64) (patches []daisygap.Patch, far bool, err error) {
+	var a historyAnswer
+	err = c.get(ctx, "history", url.Values{"since": {strconv.FormatUint(since, 10)}}, &a)
+	return a.Patches, a.Far, err
+}
+
+// Patch commits a merge patch against a base version and returns the new version.
+func (c *Client) Patch(ctx context.Context, base uint64, p daisygap.Patch) (uint64, error) {
+	data, err := json.Marshal(patchRequest{Base: base, ID: p.ID, Author: p.Author, Merge: p.Merge})
+	if err != nil {
+		return 0, err
+	}
+	var a patchAnswer
+	err = c.call(ctx, http.MethodPost, "patch", nil, data, &a)
+	return a.Version, err
+}
+
+// Members fetches the daemons of all domains, and the domains that could not be reached.
+func (c *Client) Members(ctx context.Context) ([]daisygap.MemberStatus, []string, error) {
+	var a membersAnswer
+	err := c.get(ctx, "members", nil, &a)
+	return a.List, a.Missing, err
+}
+
+// Explain reads a receipt.
+func (c *Client) Explain(ctx context.Context, receipt string) (*daisygap.Refusal, error) {
+	var r daisygap.Refusal
+	if err := c.get(ctx, "explain", url.Values{"receipt": {receipt}}, &r); err != nil {
+		return nil, err
+	}
+	return &r, nil
+}
+
+// Totals fetches the refusal totals, and what could not be reached.
+func (c *Client) Totals(ctx context.Context) ([]daisygap.Total, []string, error) {
+	var a totalsAnswer
+	err := c.get(ctx, "refusals", nil, &a)
+	return a.Totals, a.Missing, err
+}
+
+// Lookup asks a look-up question.
+func (c *Client) Lookup(ctx context.Context, address, kind string) (json.RawMessage, error) {
+	var a json.RawMessage
+	err := c.get(ctx, "lookup", url.Values{"caller": {address}, "kind": {kind}}, &a)
+	return a, err
+}
+
+func (c *Client) get(ctx context.Context, name string, q url.Values, into any) error {
+	return c.call(ctx, http.MethodGet, name, q, nil, into)
+}
+
+func (c *Client) call(ctx context.Context, method, name string, q url.Values, body []byte, into any) error {
+	address := c.Base + "/v1/" + name
+	if q != nil {
+		address += "?" + q.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	if err != nil {
+		return daisygap.Fail(name, c.Base, err)
+	}
+	if c.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	res, err := c.HTTP.Do(req)
+	if err != nil {
+		return daisygap.Fail(name, c.Base, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	d := json.NewDecoder(io.LimitReader(res.Body, maxAnswer))
+	if res.StatusCode != http.StatusOK {
+		var e wireError
+		if err := d.Decode(&e); err != nil {
+			return daisygap.Fail(name, c.Base, errors.New(res.Status))
+		}
+		return e.restore()
+	}
+	return daisygap.Fail(name, c.Base, d.Decode(into))
+}
+
+// restore turns a wire error into the error that the daemon returned.
+func (e *wireError) restore() error {
+	switch {
+	case e.Code == codeStale && e.Stale != nil:
+		return e.Stale
+	case e.Code == codeField && e.Field != nil:
+		return e.Field
+	case e.Code == codeNoStore:
+		return daisygap.ErrNoStore
+	case e.Code == codeUnknown:
+		return daisygap.ErrOutcomeUnknown
+	case e.Code == codeToken:
+		return ErrToken
+	}
+	return errors.New(e.Text)
+}
--- /dev/null
+++ b/internal/adapter/peer/server.go
@@ -0,0 +1,101 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/daisygap/daisygap"
+)
+
+// Server answers other daemons; set the fields before Run.
+type Server struct {
+	Service daisygap.PeerService
+	Log     daisygap.Log
+
+	mu    sync.Mutex
+	conns map[*jsonrpc2.Conn]bool
+	group sync.WaitGroup
+}
+
+type partCall struct {
+	Version uint64 `json:"v"`
+	Part    int    `json:"p"`
+}
+
+// Run serves a listener until it is closed.
+func (s *Server) Run(listener net.Listener) {
+	for {
+		raw, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		stream := jsonrpc2.NewBufferedStream(countedConn{raw}, codec{})
+		handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed())
+		conn := jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(silent{}))
+		s.keep(conn)
+	}
+}
+
+// Close drops all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.group.Wait()
+}
+
+func (s *Server) keep(conn *jsonrpc2.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		s.conns = make(map[*jsonrpc2.Conn]bool)
+	}
+	s.conns[conn] = true
+	s.group.Go(func() {
+		<-conn.DisconnectNotify()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, conn)
+	})
+}
+
+func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	if r.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "params are missing"}
+	}
+	switch r.Method {
+	case methodBeat:
+		return answer(r, func(b daisygap.Beat) (daisygap.Grant, error) { return s.Service.ServeBeat(b), nil })
+	case methodSync:
+		return answer(r, func(d daisygap.Digest) (daisygap.Delta, error) { return s.Service.ServeSync(d), nil })
+	case methodPush:
+		return answer(r, func(p daisygap.Push) (struct{}, error) {
+			s.Service.ServePush(p)
+			return struct{}{}, nil
+		})
+	case methodPart:
+		return answer(r, func(p partCall) (daisygap.Part, error) { return s.Service.ServePart(p.Version, p.Part) })
+	case methodLoan:
+		return answer(r, func(c daisygap.LoanCall) (daisygap.LoanAnswer, error) { return s.Service.ServeLoan(c), nil })
+	case methodTotals:
+		return answer(r, func(struct{}) ([]daisygap.Total, error) { return s.Service.ServeTotals(), nil })
+	case methodMembers:
+		return answer(r, func(struct{}) (daisygap.MemberList, error) { return s.Service.ServeMembers(), nil })
+	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+}
+
+// answer decodes the parameters, calls the service and returns its result.
+func answer[P, R any](r *jsonrpc2.Request, serve func(P) (R, error)) (any, error) {
+	var p P
+	if err := json.Unmarshal(*r.Params, &p); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return serve(p)
+}
--- /dev/null
+++ b/internal/adapter/settings/load.go
@@ -0,0 +1,112 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"net/netip"
+	"net/url"
+	"os"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/policy/configuration"
+)
+
+// Load reads and checks a settings file.
+func Load(file string) (*daisygap.Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, daisygap.Fail("read settings", file, err)
+	}
+	return Parse(file, data)
+}
+
+// Parse checks settings in JSON; its errors name the file, the field and what was expected.
+func Parse(file string, data []byte) (*daisygap.Settings, error) {
+	s := &daisygap.Settings{Level: "info"}
+	if err := configuration.DecodeStrict(file, data, s); err != nil {
+		return nil, err
+	}
+	if err := check(s); err != nil {
+		var field *daisygap.FieldError
+		if errors.As(err, &field) {
+			field.File = file
+		}
+		return nil, err
+	}
+	return s, nil
+}
+
+func check(s *daisygap.Settings) error {
+	for _, f := range []struct{ name, value string }{
+		{"host", s.Host}, {"domain", s.Domain}, {"region", s.Region},
+	} {
+		if f.value == "" {
+			return &daisygap.FieldError{Field: f.name, Want: "a name", Got: `""`}
+		}
+	}
+	for _, f := range []struct{ name, value string }{
+		{"caller", s.Caller}, {"carry", s.Carry}, {"peer", s.Peer}, {"operator", s.Operator},
+	} {
+		if err := checkAddress(f.name, f.value); err != nil {
+			return err
+		}
+	}
+	for _, p := range s.Peers {
+		if err := checkAddress("peers", p); err != nil {
+			return err
+		}
+	}
+	for _, t := range s.Trust {
+		if _, err := netip.ParsePrefix(t); err != nil {
+			return &daisygap.FieldError{Field: "trust", Want: "an address prefix", Got: `"` + t + `"`}
+		}
+	}
+	if u, err := url.Parse(s.Store); err != nil || u.Host == "" {
+		return &daisygap.FieldError{Field: "store", Want: "the URL of the key-value service", Got: `"` + s.Store + `"`}
+	}
+	if s.Token == "" {
+		return &daisygap.FieldError{Field: "token", Want: "a bearer token for operators' writes", Got: `""`}
+	}
+	if _, err := logrus.ParseLevel(s.Level); err != nil {
+		return &daisygap.FieldError{Field: "level", Want: "debug, info, warning or error", Got: `"` + s.Level + `"`}
+	}
+	if s.Linger < 0 {
+		return &daisygap.FieldError{Field: "linger", Want: "milliseconds from 0", Got: "a negative number"}
+	}
+	return nil
+}
+
+func checkAddress(field, value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return &daisygap.FieldError{Field: field, Want: "an IP address and port", Got: `"` + value + `"`}
+	}
+	return nil
+}
+
+// LoadTLS reads the certificates for the peer and operator faces; peers must show a certificate of the CA. It returns nils without a TLS setting.
+func LoadTLS(t *daisygap.TLS) (server, client *tls.Config, err error) {
+	if t == nil {
+		return nil, nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(t.Cert, t.Key)
+	if err != nil {
+		return nil, nil, daisygap.Fail("read certificate", t.Cert, err)
+	}
+	pem, err := os.ReadFile(t.CA)
+	if err != nil {
+		return nil, nil, daisygap.Fail("read CA", t.CA, err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, nil, daisygap.Fail("read CA", t.CA, errors.New("no certificate in the file"))
+	}
+	server = &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert},
+		ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
+	}
+	client = &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert}, RootCAs: pool}
+	return server, client, nil
+}
--- /dev/null
+++ b/internal/adapter/upstream/loans.go
@@ -0,0 +1,226 @@
+package upstream
+
+import (
+	"github.com/daisygap/daisygap"
+)
+
+const (
+	// LoanSpan is how long a borrower may start work on a loan.
+	LoanSpan = daisygap.Millis(1_000)
+	// Part of a daemon's slots that it doesn't lend, so that its own first request finds one.
+	reserveParts = 20
+)
+
+type loanKey struct {
+	peer string
+	id   uint64
+}
+
+type loan struct {
+	upstream string
+	amount   int
+	until    daisygap.Millis
+	recalled bool
+	ended    bool
+}
+
+// Lend gives idle slots to a peer, up to the wanted number.
+func (p *Pool) Lend(peer string, want int) []daisygap.Lent {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	p.expireLoans(now)
+	if !p.Usable() || p.queue.Waiting() > 0 {
+		return nil
+	}
+	spare := p.spare(now)
+	var lent []daisygap.Lent
+	for _, u := range p.balancer.All() {
+		idle := min(u.Share-u.Lent-u.Running, want, spare)
+		if idle <= 0 || p.balancer.Limit(u, now) == 0 {
+			continue
+		}
+		l := p.lender.Lend(u.Name, peer, idle, now+LoanSpan+p.longest)
+		u.Lent += idle
+		want -= idle
+		spare -= idle
+		lent = append(lent, daisygap.Lent{ID: l.ID, Upstream: u.Name, Amount: idle})
+	}
+	return lent
+}
+
+// spare returns how many idle slots may be lent beyond the reserve.
+func (p *Pool) spare(now daisygap.Millis) int {
+	idle, share := 0, 0
+	for _, u := range p.balancer.All() {
+		if p.balancer.Limit(u, now) == 0 {
+			continue
+		}
+		share += u.Share
+		idle += max(u.Share-u.Lent-u.Running, 0)
+	}
+	reserve := (share + reserveParts - 1) / reserveParts
+	return idle - reserve
+}
+
+// Extend lets a peer go on using loans; it returns those that stand. A lender whose own requests wait extends none.
+func (p *Pool) Extend(peer string, ids []uint64) []uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	p.expireLoans(now)
+	if !p.Usable() || p.queue.Waiting() > 0 {
+		return nil
+	}
+	var extended []uint64
+	for _, id := range ids {
+		if p.lender.Extend(id, peer, now+LoanSpan+p.longest) {
+			extended = append(extended, id)
+		}
+	}
+	return extended
+}
+
+// TakeBack closes loans that a peer returned.
+func (p *Pool) TakeBack(peer string, ids []uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range ids {
+		if l, ok := p.lender.Return(id, peer); ok {
+			if u := p.balancer.Find(l.Limit); u != nil {
+				u.Lent -= l.Amount
+			}
+		}
+	}
+	p.dispatch(p.Clock.Now())
+}
+
+// Borrow takes in loans that were asked for at a time.
+func (p *Pool) Borrow(peer string, lent []daisygap.Lent, asked daisygap.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range lent {
+		u := p.balancer.Find(l.Upstream)
+		key := loanKey{peer: peer, id: l.ID}
+		if _, known := p.borrowed[key]; known {
+			continue
+		}
+		p.borrowed[key] = loan{upstream: l.Upstream, amount: l.Amount, until: asked + LoanSpan, ended: u == nil}
+		if u != nil {
+			u.Borrowed += l.Amount
+		}
+	}
+	p.dispatch(p.Clock.Now())
+}
+
+// Prolong moves the end of loans that the lender extended, counted from when that was asked.
+func (p *Pool) Prolong(peer string, ids []uint64, asked daisygap.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range ids {
+		key := loanKey{peer: peer, id: id}
+		if l, ok := p.borrowed[key]; ok && !l.ended {
+			l.until = max(l.until, asked+LoanSpan)
+			p.borrowed[key] = l
+		}
+	}
+}
+
+// Recall ends the use of everything borrowed from a peer as soon as running requests allow.
+func (p *Pool) Recall(peer string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, l := range p.borrowed {
+		if key.peer == peer {
+			l.recalled = true
+			p.borrowed[key] = l
+		}
+	}
+	p.expireLoans(p.Clock.Now())
+}
+
+// Recallable tells that own requests wait while slots are lent.
+func (p *Pool) Recallable() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.queue.Waiting() == 0 {
+		return false
+	}
+	for _, u := range p.balancer.All() {
+		if u.Lent > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Wanted returns how many more slots the waiting requests could use.
+func (p *Pool) Wanted() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.Usable() {
+		return 0
+	}
+	return p.queue.Waiting()
+}
+
+// Due is the upkeep of what was borrowed from one peer.
+type Due struct {
+	Peer   string
+	Extend []uint64
+	Return []uint64
+}
+
+// Upkeep returns, by peer, the loans to extend because they are in use, and those to return.
+func (p *Pool) Upkeep() []Due {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	p.expireLoans(now)
+	byPeer := make(map[string]*Due)
+	for key, l := range p.borrowed {
+		d := byPeer[key.peer]
+		if d == nil {
+			d = &Due{Peer: key.peer}
+			byPeer[key.peer] = d
+		}
+		u := p.balancer.Find(l.upstream)
+		switch {
+		case l.ended && (u == nil || u.Running+u.Lent <= u.Share+u.Borrowed):
+			d.Return = append(d.Return, key.id)
+			delete(p.borrowed, key)
+		case !l.ended && now >= l.until-LoanSpan/2:
+			d.Extend = append(d.Extend, key.id)
+		}
+	}
+	var due []Due
+	for _, d := range byPeer {
+		due = append(due, *d)
+	}
+	return due
+}
+
+// expireLoans ends loans by time, on both sides, and those that have become idle.
+func (p *Pool) expireLoans(now daisygap.Millis) {
+	for _, l := range p.lender.Lapsed(now) {
+		if u := p.balancer.Find(l.Limit); u != nil {
+			u.Lent -= l.Amount
+		}
+	}
+	idle := p.queue.Waiting() == 0
+	for key, l := range p.borrowed {
+		if l.ended {
+			continue
+		}
+		u := p.balancer.Find(l.upstream)
+		unused := u != nil && idle && now >= l.until-LoanSpan/2 && u.Running+u.Lent+l.amount <= u.Share+u.Borrowed
+		if now < l.until && !l.recalled && !unused && u != nil {
+			continue
+		}
+		l.ended = true
+		p.borrowed[key] = l
+		if u != nil {
+			u.Borrowed -= l.amount
+		}
+	}
+}
--- /dev/null
+++ b/internal/adapter/upstream/pool.go
@@ -0,0 +1,352 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/policy/admission"
+	"github.com/daisygap/daisygap/internal/policy/balance"
+	"github.com/daisygap/daisygap/internal/policy/quota"
+)
+
+// Pool admits the requests of one group to the slots that this daemon may use; it is safe for concurrent use.
+type Pool struct {
+	Group string
+	Clock *daisygap.Clock
+	// Usable tells whether the daemon's membership lease stands.
+	Usable func() bool
+	// Suspect tells whether a fingerprint was at a crash.
+	Suspect func(print uint64) bool
+	// Short is called when requests wait and no slot is free; it must not block.
+	Short func()
+
+	mu       sync.Mutex
+	queue    admission.Queue
+	balancer balance.Balancer
+	lender   quota.Lender
+	borrowed map[loanKey]loan
+	waiters  map[*admission.Item]chan grant
+	parked   []*admission.Item
+	longest  daisygap.Millis
+	alone    bool
+}
+
+type grant struct {
+	upstream *balance.Upstream
+	suspect  bool
+	denial   *admission.Denial
+}
+
+// Plan is what the configuration and the view give to a pool.
+type Plan struct {
+	Rules   []admission.Rule
+	Targets []balance.Target
+	Warm    daisygap.Millis
+	Eject   float64
+	// Longest is the longest time that a request may run.
+	Longest daisygap.Millis
+	// Alone tells that no other daemon could lend slots.
+	Alone bool
+}
+
+// Slot is the right to run one request at one upstream.
+type Slot struct {
+	Name    string
+	Address string
+	// Suspect tells that the request was at a crash before.
+	Suspect bool
+
+	pool     *Pool
+	upstream *balance.Upstream
+	kind     string
+	started  daisygap.Millis
+}
+
+// SetPlan takes in a new configuration or view.
+func (p *Pool) SetPlan(plan Plan) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.waiters == nil {
+		p.waiters = make(map[*admission.Item]chan grant)
+		p.borrowed = make(map[loanKey]loan)
+		p.balancer.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	now := p.Clock.Now()
+	p.balancer.Warm, p.balancer.Eject = plan.Warm, plan.Eject
+	p.longest, p.alone = plan.Longest, plan.Alone
+	for _, it := range p.queue.SetRules(plan.Rules) {
+		p.deny(it, daisygap.ReasonUnknownKind, now)
+	}
+	p.balancer.SetTargets(plan.Targets, now)
+	p.dispatch(now)
+}
+
+// Acquire waits for a slot; the denial says why there is none.
+func (p *Pool) Acquire(ctx context.Context, r *daisygap.Request) (*Slot, *admission.Denial) {
+	item, ch, denial := p.enter(r)
+	if denial != nil {
+		return nil, denial
+	}
+	select {
+	case g := <-ch:
+		return p.granted(r, g)
+	case <-ctx.Done():
+		return p.leave(ctx, r, item, ch)
+	}
+}
+
+func (p *Pool) enter(r *daisygap.Request) (*admission.Item, chan grant, *admission.Denial) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	if denial := p.closed(r, now); denial != nil {
+		return nil, nil, denial
+	}
+	offered := p.queue.Offer(r, now)
+	if offered.Evicted != nil {
+		p.deny(offered.Evicted, daisygap.ReasonQueueFull, now)
+	}
+	if offered.Denial != nil {
+		p.wantMore()
+		return nil, nil, offered.Denial
+	}
+	ch := make(chan grant, 1)
+	p.waiters[offered.Item] = ch
+	p.dispatch(now)
+	return offered.Item, ch, nil
+}
+
+// closed returns why the pool takes nothing at all now, or nil.
+func (p *Pool) closed(r *daisygap.Request, now daisygap.Millis) *admission.Denial {
+	if !p.Usable() {
+		return &admission.Denial{Reason: daisygap.ReasonFenced, Figures: p.queue.Figures(r, now)}
+	}
+	capacity := p.balancer.Capacity(now)
+	p.queue.SetLimit(capacity)
+	if capacity > 0 || (!p.alone && !p.allDrained(now)) {
+		return nil
+	}
+	reason := daisygap.ReasonNoCapacity
+	if p.allDrained(now) && len(p.balancer.All()) > 0 {
+		reason = daisygap.ReasonDraining
+	}
+	return &admission.Denial{Reason: reason, Figures: p.queue.Figures(r, now)}
+}
+
+func (p *Pool) allDrained(now daisygap.Millis) bool {
+	for _, u := range p.balancer.All() {
+		if !p.balancer.Drained(u, now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Pool) granted(r *daisygap.Request, g grant) (*Slot, *admission.Denial) {
+	if g.denial != nil {
+		return nil, g.denial
+	}
+	return &Slot{
+		Name: g.upstream.Name, Address: g.upstream.Address, Suspect: g.suspect,
+		pool: p, upstream: g.upstream, kind: r.Kind, started: p.Clock.Now(),
+	}, nil
+}
+
+// leave takes a request whose context ended out of the queue, or gives back a slot granted at the same time.
+func (p *Pool) leave(ctx context.Context, r *daisygap.Request, it *admission.Item, ch chan grant) (*Slot, *admission.Denial) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	reason := daisygap.ReasonCancelled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = daisygap.ReasonExpired
+	}
+	denial := &admission.Denial{Reason: reason, Figures: p.queue.Figures(r, now)}
+	select {
+	case g := <-ch:
+		if g.denial != nil {
+			return nil, g.denial
+		}
+		p.balancer.Done(g.upstream, g.suspect, balance.Abandoned, 0, now)
+		p.queue.Finish(r.Kind, -1)
+		p.dispatch(now)
+	default:
+		p.withdraw(it)
+	}
+	return nil, denial
+}
+
+func (p *Pool) withdraw(it *admission.Item) {
+	delete(p.waiters, it)
+	for i, o := range p.parked {
+		if o == it {
+			p.parked = append(p.parked[:i], p.parked[i+1:]...)
+			p.queue.Finish(it.Request.Kind, -1)
+			return
+		}
+	}
+	p.queue.Remove(it)
+}
+
+// dispatch gives free slots to waiting requests; the caller holds the lock.
+func (p *Pool) dispatch(now daisygap.Millis) {
+	p.expireLoans(now)
+	p.queue.SetLimit(p.balancer.Capacity(now))
+	if !p.Usable() {
+		return
+	}
+	p.placeParked(now)
+	for p.queue.Waiting() > 0 && p.free(now) {
+		popped := p.queue.Pop(now)
+		for _, late := range popped.Late {
+			p.deny(late, daisygap.ReasonDeadline, now)
+		}
+		if popped.Item == nil {
+			return
+		}
+		if !p.place(popped.Item, now) {
+			p.parked = append(p.parked, popped.Item)
+		}
+	}
+	if p.queue.Waiting() > 0 {
+		p.wantMore()
+	}
+}
+
+func (p *Pool) wantMore() {
+	if !p.alone {
+		p.Short()
+	}
+}
+
+func (p *Pool) free(now daisygap.Millis) bool {
+	for _, u := range p.balancer.All() {
+		if u.Running < p.balancer.Limit(u, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// placeParked retries suspects that found no upstream without another suspect.
+func (p *Pool) placeParked(now daisygap.Millis) {
+	kept := p.parked[:0]
+	for _, it := range p.parked {
+		if !p.place(it, now) {
+			kept = append(kept, it)
+		}
+	}
+	p.parked = kept
+}
+
+func (p *Pool) place(it *admission.Item, now daisygap.Millis) bool {
+	suspect := p.Suspect(it.Request.Print)
+	u := p.balancer.Pick(suspect, now)
+	if u == nil {
+		return false
+	}
+	p.waiters[it] <- grant{upstream: u, suspect: suspect}
+	delete(p.waiters, it)
+	return true
+}
+
+func (p *Pool) deny(it *admission.Item, reason daisygap.Reason, now daisygap.Millis) {
+	ch := p.waiters[it]
+	if ch == nil {
+		return
+	}
+	delete(p.waiters, it)
+	ch <- grant{denial: &admission.Denial{Reason: reason, Figures: p.queue.Figures(it.Request, now)}}
+}
+
+// Done gives the slot back and tells how the attempt ended.
+func (s *Slot) Done(outcome balance.Outcome) {
+	p := s.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	service := now - s.started
+	p.balancer.Done(s.upstream, s.Suspect, outcome, service, now)
+	if outcome != balance.Succeeded {
+		service = -1
+	}
+	p.queue.Finish(s.kind, service)
+	p.dispatch(now)
+}
+
+// SignalDrain notes that the slot's upstream said it is leaving.
+func (s *Slot) SignalDrain() {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.pool.balancer.SignalDrain(s.upstream, s.pool.Clock.Now())
+}
+
+// NoteDrain notes that a named upstream said it is leaving, by its health endpoint.
+func (p *Pool) NoteDrain(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u := p.balancer.Find(name); u != nil {
+		p.balancer.SignalDrain(u, p.Clock.Now())
+	}
+}
+
+// Load returns the use of the slots that this daemon may use.
+func (p *Pool) Load() daisygap.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return daisygap.Load{
+		Slots:   p.balancer.Capacity(p.Clock.Now()),
+		Running: p.queue.Running(),
+		Waiting: p.queue.Waiting() + len(p.parked),
+	}
+}
+
+// Shrunk tells whether the use of every upstream fits the daemon's shares.
+func (p *Pool) Shrunk() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range p.balancer.All() {
+		if u.Running+u.Lent > u.Share+u.Borrowed {
+			return false
+		}
+	}
+	return true
+}
+
+// LentOut tells whether another daemon may still use slots of this one.
+func (p *Pool) LentOut() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expireLoans(p.Clock.Now())
+	for _, u := range p.balancer.All() {
+		if u.Lent > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Tick gives slots out that became free by time alone.
+func (p *Pool) Tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatch(p.Clock.Now())
+}
+
+// Upstreams returns what the daemon knows of each upstream.
+func (p *Pool) Upstreams() []daisygap.UpstreamStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	var views []daisygap.UpstreamStatus
+	for _, u := range p.balancer.All() {
+		views = append(views, daisygap.UpstreamStatus{
+			Name: u.Name, Slots: u.Slots, Share: u.Share, Lent: u.Lent, Borrowed: u.Borrowed,
+			Running: u.Running, Drained: p.balancer.Drained(u, now),
+		})
+	}
+	return views
+}
--- /dev/null
+++ b/internal/daemon/entry/carry.go
@@ -0,0 +1,410 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/caller"
+	"github.com/daisygap/daisygap/internal/adapter/upstream"
+	"github.com/daisygap/daisygap/internal/policy/balance"
+	"github.com/daisygap/daisygap/internal/policy/routing"
+)
+
+const (
+	maxTries   = 4
+	copyBuffer = 32 << 10
+)
+
+// exchange is one request on its way through this daemon.
+type exchange struct {
+	d     *Daemon
+	in    *caller.Inbound
+	out   http.ResponseWriter
+	ctx   context.Context
+	world *routing.World
+	tried map[string]bool
+	// sent tells that the body was handed to a transport and can't be read again.
+	sent bool
+}
+
+// attempt is the outcome of one try: an answer to pass on, or a refusal.
+type attempt struct {
+	response *http.Response
+	refusal  *daisygap.Refusal
+	// sealed tells that another daemon issued the refusal, and holds its answer.
+	sealed *http.Response
+	domain string
+	finish func(balance.Outcome)
+}
+
+// ServeCaller carries a request of a caller.
+func (d *Daemon) ServeCaller(w http.ResponseWriter, r *http.Request) {
+	d.serve(w, r, false)
+}
+
+// ServeHop carries a request that another daemon handed over.
+func (d *Daemon) ServeHop(w http.ResponseWriter, r *http.Request) {
+	d.serve(w, r, true)
+}
+
+func (d *Daemon) serve(w http.ResponseWriter, r *http.Request, hop bool) {
+	defer d.track()()
+	started := d.Clock.Now()
+	r.Body = http.MaxBytesReader(w, r.Body, caller.MaxBody)
+	in, problem := d.reader.Read(d.config(), r, hop)
+	switch {
+	case d.Version() == 0:
+		d.refuse(w, d.refusal(in.Request, daisygap.ReasonNoConfiguration, daisygap.NotRun, daisygap.Figures{}), "this daemon has no configuration yet")
+		return
+	case problem != nil:
+		d.refuse(w, d.refusal(in.Request, problem.Reason, daisygap.NotRun, daisygap.Figures{}), problem.Text)
+		return
+	case d.prints.isBlocked(in.Request.Print, d.Clock.Now()):
+		d.refuse(w, d.refusal(in.Request, daisygap.ReasonPoisoned, daisygap.NotRun, daisygap.Figures{}), "this request crashed the servers that ran it")
+		return
+	}
+	left := in.Request.Deadline - d.Clock.Now()
+	ctx, cancel := context.WithTimeout(r.Context(), left.Duration())
+	defer cancel()
+	if !hop {
+		d.budgets.fresh(in.Request.Kind)
+	}
+	e := &exchange{d: d, in: in, out: w, ctx: ctx, tried: make(map[string]bool)}
+	e.run()
+	name := fmt.Sprintf(`daisygap_request_seconds{kind=%q,rank=%q}`, in.Request.Kind, in.Request.Rank)
+	metrics.GetOrCreateHistogram(name).Update(float64(d.Clock.Now()-started) / 1000)
+}
+
+// run tries domains until one answers, a refusal is final, or the retry budget ends.
+func (e *exchange) run() {
+	var last attempt
+	for try := 0; ; try++ {
+		a := e.once(last)
+		if a.response != nil {
+			e.deliver(a)
+			return
+		}
+		if !e.mayRetry(a.refusal, try) {
+			e.refuse(a)
+			return
+		}
+		e.discard(a)
+		metrics.GetOrCreateCounter(fmt.Sprintf(`daisygap_retries_total{reason=%q,kind=%q}`, a.refusal.Reason, e.in.Request.Kind)).Inc()
+		last = a
+	}
+}
+
+// once chooses a domain and sends the request there once.
+func (e *exchange) once(last attempt) attempt {
+	e.world = e.d.world.Load()
+	choice, ok := e.choose()
+	if !ok {
+		if last.refusal != nil {
+			return last
+		}
+		return attempt{refusal: e.refusal(e.nowhere(), daisygap.NotRun, daisygap.Figures{Left: e.left()})}
+	}
+	if choice.Host.Name == "" {
+		return e.serveHere()
+	}
+	return e.handOver(choice)
+}
+
+// nowhere says why no domain can be chosen.
+func (e *exchange) nowhere() daisygap.Reason {
+	c := e.world.State.Config
+	self := e.d.Settings.Domain
+	group := c.GroupOf(e.in.Request.Kind)
+	switch {
+	case e.in.Request.Hop > 0 && !c.Allows(e.in.Request.Kind, self):
+		return daisygap.ReasonNotAllowed
+	case e.world.Closed(self, group):
+		return daisygap.ReasonDraining
+	case !e.d.usable():
+		return daisygap.ReasonFenced
+	}
+	return daisygap.ReasonNoCapacity
+}
+
+func (e *exchange) choose() (routing.Choice, bool) {
+	d := e.d
+	pool := d.pool(d.config().GroupOf(e.in.Request.Kind))
+	pressure := 1.0
+	if pool != nil {
+		if l := pool.Load(); l.Slots > 0 {
+			pressure = float64(l.Waiting) / float64(l.Slots)
+		}
+	}
+	return e.world.Choose(routing.Query{
+		Request: e.in.Request, Self: d.Settings.Domain, Host: d.Settings.Host, Region: d.Settings.Region,
+		OwnUsable: d.usable() && pool != nil, OwnPressure: pressure,
+		Tried:    e.tried,
+		LinkWait: func(region string) daisygap.Millis { return d.links.backlog(region, e.in.Request.Rank) },
+		Now:      d.Clock.Now(),
+		Random:   rand.New(rand.NewPCG(rand.Uint64(), 0)),
+	})
+}
+
+func (e *exchange) left() daisygap.Millis {
+	return e.in.Request.Deadline - e.d.Clock.Now()
+}
+
+func (e *exchange) refusal(reason daisygap.Reason, run daisygap.RunState, f daisygap.Figures) *daisygap.Refusal {
+	return e.d.refusal(e.in.Request, reason, run, f)
+}
+
+// mayRetry allows another try by the first daemon only: after a truthful "not run", or for a kind that may be repeated.
+func (e *exchange) mayRetry(r *daisygap.Refusal, try int) bool {
+	if e.in.Request.Hop > 0 || try+1 >= maxTries || e.ctx.Err() != nil || e.left() <= 0 {
+		return false
+	}
+	switch r.Reason {
+	case daisygap.ReasonUnreachable, daisygap.ReasonUpstreamFailed, daisygap.ReasonUpstreamShed,
+		daisygap.ReasonQueueFull, daisygap.ReasonDeadline, daisygap.ReasonNoCapacity,
+		daisygap.ReasonFenced, daisygap.ReasonDraining:
+	default:
+		return false
+	}
+	if r.Run != daisygap.NotRun && !e.in.Request.Repeat {
+		return false
+	}
+	if e.sent && !e.in.Whole {
+		return false
+	}
+	return e.d.budgets.take(e.in.Request.Kind)
+}
+
+// serveHere admits the request to an upstream of the own domain and sends it there.
+func (e *exchange) serveHere() attempt {
+	d := e.d
+	pool := d.pool(d.config().GroupOf(e.in.Request.Kind))
+	slot, denial := pool.Acquire(e.ctx, e.in.Request)
+	if denial != nil {
+		e.tried[d.Settings.Domain] = true
+		return attempt{refusal: e.refusal(denial.Reason, daisygap.NotRun, denial.Figures)}
+	}
+	out := e.outbound(slot.Address)
+	res, err := d.Upstream.Send(e.ctx, out, e.in.Request.Repeat)
+	if err != nil {
+		return e.upstreamFailed(slot, err)
+	}
+	if res.Header.Get(daisygap.HeaderDrain) != "" {
+		slot.SignalDrain()
+	}
+	if res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(daisygap.HeaderRun) == string(daisygap.NotRun) {
+		closeBody(res)
+		slot.Done(balance.Shed)
+		return attempt{refusal: e.refusal(daisygap.ReasonUpstreamShed, daisygap.NotRun, daisygap.Figures{Left: e.left()})}
+	}
+	return attempt{response: res, domain: d.Settings.Domain, finish: func(o balance.Outcome) {
+		if o == balance.Succeeded {
+			d.prints.clear(e.in.Request.Print)
+		}
+		if o == balance.Succeeded && res.StatusCode >= http.StatusInternalServerError {
+			o = balance.Shed
+		}
+		slot.Done(o)
+	}}
+}
+
+// upstreamFailed tells apart a request that was not sent, one given up by its caller or deadline, and one that an upstream broke off.
+func (e *exchange) upstreamFailed(slot *upstream.Slot, err error) attempt {
+	figures := daisygap.Figures{Left: e.left()}
+	e.d.Log.With("upstream").Debugf("%v", err)
+	if errors.Is(err, upstream.ErrNotSent) {
+		outcome := balance.Broken
+		reason := daisygap.ReasonUnreachable
+		if e.ctx.Err() != nil {
+			outcome = balance.Abandoned
+			reason = e.ended()
+		}
+		slot.Done(outcome)
+		return attempt{refusal: e.refusal(reason, daisygap.NotRun, figures)}
+	}
+	if e.ctx.Err() != nil {
+		slot.Done(balance.Abandoned)
+		return attempt{refusal: e.refusal(e.ended(), daisygap.Unknown, figures)}
+	}
+	e.d.crashed(daisygap.Crash{Upstream: slot.Name, Print: e.in.Request.Print, Suspect: slot.Suspect})
+	slot.Done(balance.Broken)
+	return attempt{refusal: e.refusal(daisygap.ReasonUpstreamFailed, daisygap.Unknown, figures)}
+}
+
+// ended says why the exchange's context is over.
+func (e *exchange) ended() daisygap.Reason {
+	if errors.Is(e.ctx.Err(), context.DeadlineExceeded) {
+		return daisygap.ReasonExpired
+	}
+	return daisygap.ReasonCancelled
+}
+
+// handOver sends the request to a daemon of another domain.
+func (e *exchange) handOver(choice routing.Choice) attempt {
+	d := e.d
+	out := e.outbound(choice.Host.Carry)
+	if d.Settings.TLS != nil {
+		out.URL.Scheme = "https"
+	}
+	out.Header.Set(daisygap.HeaderHop, d.Settings.Region)
+	out.Header.Set(daisygap.HeaderCaller, e.in.Request.Caller)
+	region := d.config().Domains[choice.Domain].Region
+	if p := d.links.to(region); p != nil && region != d.Settings.Region {
+		out.Body = io.NopCloser(&pacedReader{ctx: e.ctx, in: out.Body, pacer: p, clock: d.Clock, rank: e.in.Request.Rank})
+	}
+	res, err := d.Carry.Send(e.ctx, out, e.in.Request.Repeat)
+	e.tried[choice.Domain] = true
+	if err != nil {
+		return e.handOverFailed(choice, err)
+	}
+	if reason := res.Header.Get(daisygap.HeaderReason); reason != "" {
+		refusal := e.refusal(daisygap.Reason(reason), daisygap.RunState(res.Header.Get(daisygap.HeaderRun)), daisygap.Figures{Left: e.left()})
+		return attempt{refusal: refusal, sealed: res, domain: choice.Domain}
+	}
+	return attempt{response: res, domain: choice.Domain, finish: func(balance.Outcome) {}}
+}
+
+func (e *exchange) handOverFailed(choice routing.Choice, err error) attempt {
+	d := e.d
+	d.Log.With("carry").Debugf("%s: %v", choice.Host.Name, err)
+	run := daisygap.Unknown
+	if errors.Is(err, upstream.ErrNotSent) {
+		run = daisygap.NotRun
+	}
+	reason := daisygap.ReasonUnreachable
+	if e.ctx.Err() != nil {
+		reason = e.ended()
+	}
+	return attempt{refusal: e.refusal(reason, run, daisygap.Figures{Left: e.left()})}
+}
+
+// outbound makes the request for the next stage, with the deadline left.
+func (e *exchange) outbound(address string) *http.Request {
+	in := e.in.HTTP
+	out := &http.Request{
+		Method: in.Method, URL: cloneURL(in, address), Host: in.Host, Header: forwardHeader(in.Header),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if body, length := e.in.Body(); length != 0 {
+		out.Body, out.ContentLength = io.NopCloser(body), length
+	} else {
+		out.Body = http.NoBody
+	}
+	e.sent = true
+	r := e.in.Request
+	out.Header.Set(daisygap.HeaderID, r.ID)
+	out.Header.Set(daisygap.HeaderKind, r.Kind)
+	out.Header.Set(daisygap.HeaderRank, r.Rank.String())
+	out.Header.Set(daisygap.HeaderDeadline, strconv.FormatInt(int64(max(e.left(), 0)), 10))
+	return out
+}
+
+// deliver passes an answer on; a body that breaks off ends in a broken connection, never in a clean end.
+func (e *exchange) deliver(a attempt) {
+	defer closeBody(a.response)
+	h := e.out.Header()
+	copyHeader(h, a.response.Header)
+	h.Set(daisygap.HeaderID, e.in.Request.ID)
+	h.Set(daisygap.HeaderHost, e.d.Settings.Host)
+	e.out.WriteHeader(a.response.StatusCode)
+	readErr, writeErr := e.copyBody(a.response)
+	switch {
+	case readErr == nil && writeErr == nil:
+		a.finish(balance.Succeeded)
+		return
+	case writeErr != nil || e.ctx.Err() != nil:
+		a.finish(balance.Abandoned)
+	default:
+		a.finish(balance.Broken)
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`daisygap_broken_answers_total{kind=%q}`, e.in.Request.Kind)).Inc()
+	panic(http.ErrAbortHandler)
+}
+
+// answerRegion is where the answer's bytes go: to the daemon that handed the request over, else to the caller's block.
+func (e *exchange) answerRegion() string {
+	if e.in.Origin != "" {
+		return e.in.Origin
+	}
+	if table := e.d.table.Load(); table != nil {
+		return table.RegionOf(e.in.Address)
+	}
+	return e.d.Settings.Region
+}
+
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, copyBuffer)
+	return &b
+}}
+
+// copyBody streams the answer with a bounded buffer, paced where it crosses a link.
+func (e *exchange) copyBody(res *http.Response) (readErr, writeErr error) {
+	var out io.Writer = e.out
+	if region := e.answerRegion(); region != e.d.Settings.Region {
+		if p := e.d.links.to(region); p != nil {
+			out = &pacedWriter{ctx: e.ctx, out: e.out, pacer: p, clock: e.d.Clock, rank: e.in.Request.Rank}
+		}
+	}
+	control := http.NewResponseController(e.out)
+	deadline := time.Now().Add(max(e.left(), 0).Duration())
+	if err := control.SetWriteDeadline(deadline); err != nil {
+		e.d.Log.With("caller").Debugf("no write deadline: %v", err)
+	}
+	pooled := buffers.Get().(*[]byte)
+	defer buffers.Put(pooled)
+	buffer := *pooled
+	for {
+		n, err := res.Body.Read(buffer)
+		if n > 0 {
+			if _, writeErr = out.Write(buffer[:n]); writeErr != nil {
+				return nil, writeErr
+			}
+			if res.ContentLength < 0 {
+				_ = control.Flush()
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil, control.SetWriteDeadline(time.Time{})
+		}
+		if err != nil {
+			return err, nil
+		}
+	}
+}
+
+// refuse writes a refusal, or passes on the one that another daemon issued.
+func (e *exchange) refuse(a attempt) {
+	if a.sealed == nil {
+		if e.in.Request.Hop == 0 {
+			e.d.count(a.refusal)
+		}
+		e.d.writeRefusal(e.out, a.refusal, "")
+		return
+	}
+	defer closeBody(a.sealed)
+	e.d.count(a.refusal)
+	copyHeader(e.out.Header(), a.sealed.Header)
+	e.out.WriteHeader(a.sealed.StatusCode)
+	if _, err := io.Copy(e.out, a.sealed.Body); err != nil {
+		e.d.Log.With("caller").Debugf("a refusal wasn't delivered: %v", err)
+	}
+}
+
+func (e *exchange) discard(a attempt) {
+	if a.sealed != nil {
+		closeBody(a.sealed)
+	}
+}
+
+func closeBody(res *http.Response) {
+	_ = res.Body.Close()
+}
--- /dev/null
+++ b/internal/daemon/entry/configuration.go
@@ -0,0 +1,398 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/policy/configuration"
+)
+
+const (
+	versionPrefix = "config/v/"
+	snapshotKey   = "config/snapshot"
+	listLimit     = 500
+	// History that a daemon keeps to send deltas to others.
+	maxRecent      = 1024
+	maxRecentBytes = 2 << 20
+	// Deltas larger than this are fetched as a snapshot.
+	maxDeltaBytes = 1 << 20
+	retryMillis   = daisygap.Millis(500)
+)
+
+func versionKey(version uint64) string {
+	return fmt.Sprintf("%s%012d", versionPrefix, version)
+}
+
+func partKey(slot, part int) string {
+	return fmt.Sprintf("config/part/%d/%04d", slot, part)
+}
+
+// manifest names the newest snapshot in the store; two slots take turns, so that one is always whole.
+type manifest struct {
+	Version uint64 `json:"version"`
+	Parts   int    `json:"parts"`
+	Slot    int    `json:"slot"`
+}
+
+// versions keeps the recent patches and orders the changes of the state.
+type versions struct {
+	mu     sync.Mutex
+	recent []daisygap.Patch
+	bytes  int
+	parts  [][]byte
+	partOf uint64
+}
+
+// applyPatches moves the state forward over the patches that follow it, and returns those that were new here.
+func (d *Daemon) applyPatches(patches []daisygap.Patch) []daisygap.Patch {
+	v := &d.versions
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	state := d.state.Load()
+	var fresh []daisygap.Patch
+	for _, p := range patches {
+		if p.Version != state.Version+1 {
+			continue
+		}
+		next, err := state.Apply(p)
+		if err != nil {
+			d.Log.With("config").Warnf("version %d can't be applied: %v", p.Version, err)
+			break
+		}
+		state = next
+		v.remember(p)
+		fresh = append(fresh, p)
+	}
+	if len(fresh) > 0 {
+		d.state.Store(state)
+		d.Log.With("config").Infof("version %d is in force", state.Version)
+		d.replan()
+	}
+	return fresh
+}
+
+// adopt takes in a whole version from a snapshot; a lower one than the own is ignored.
+func (d *Daemon) adopt(state *configuration.State) {
+	v := &d.versions
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if state.Version <= d.state.Load().Version {
+		return
+	}
+	v.recent, v.bytes = nil, 0
+	d.state.Store(state)
+	d.Log.With("config").Infof("version %d is in force, from a snapshot", state.Version)
+	d.replan()
+}
+
+func (v *versions) remember(p daisygap.Patch) {
+	v.recent = append(v.recent, p)
+	v.bytes += len(p.Merge)
+	for len(v.recent) > maxRecent || (v.bytes > maxRecentBytes && len(v.recent) > 1) {
+		v.bytes -= len(v.recent[0].Merge)
+		v.recent = v.recent[1:]
+	}
+}
+
+// since returns the patches after a version; far tells that they no longer reach back so far, or are too many for one message.
+func (v *versions) since(version, current uint64) (patches []daisygap.Patch, far bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if version >= current {
+		return nil, false
+	}
+	if len(v.recent) == 0 || v.recent[0].Version > version+1 {
+		return nil, true
+	}
+	size := 0
+	for _, p := range v.recent {
+		if p.Version <= version {
+			continue
+		}
+		size += len(p.Merge)
+		if size > maxDeltaBytes && len(patches) > 0 {
+			break
+		}
+		patches = append(patches, p)
+	}
+	return patches, false
+}
+
+// byID returns the committed patch with an ID, if it is recent.
+func (v *versions) byID(id string) (daisygap.Patch, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, p := range v.recent {
+		if p.ID == id {
+			return p, true
+		}
+	}
+	return daisygap.Patch{}, false
+}
+
+// startConfiguration gets the first version: from other daemons, which spares the store, else from the store.
+func (d *Daemon) startConfiguration() {
+	for d.Version() == 0 {
+		for _, address := range d.Settings.Peers {
+			if address != d.Settings.Peer {
+				d.syncWith(address)
+			}
+			if d.Version() > 0 {
+				return
+			}
+		}
+		if err := d.catchUp(d.ctx); err != nil {
+			d.Log.With("config").Debugf("the store gave no configuration: %v", err)
+		}
+		if d.Version() > 0 || !d.pause(d.jitter(retryMillis)) {
+			return
+		}
+	}
+}
+
+// catchUp reads from the store what is newer than the state here.
+func (d *Daemon) catchUp(ctx context.Context) error {
+	_, err := d.readVersions(ctx)
+	return err
+}
+
+// readVersions applies the versions in the store after the own one and returns the store's revision.
+func (d *Daemon) readVersions(ctx context.Context) (uint64, error) {
+	for {
+		batch, err := d.Store.List(ctx, versionPrefix, versionKey(d.Version()), listLimit)
+		if err != nil {
+			return 0, err
+		}
+		patches, err := decodePatches(batch.Entries)
+		if err != nil {
+			return 0, err
+		}
+		if len(patches) > 0 && patches[0].Version > d.Version()+1 {
+			if err := d.readSnapshot(ctx); err != nil {
+				return 0, err
+			}
+			continue
+		}
+		d.spreadPatches(d.applyPatches(patches))
+		if len(batch.Entries) < listLimit {
+			return batch.Revision, nil
+		}
+	}
+}
+
+func decodePatches(entries []daisygap.Entry) ([]daisygap.Patch, error) {
+	var patches []daisygap.Patch
+	for _, e := range entries {
+		var p daisygap.Patch
+		if err := json.Unmarshal(e.Value, &p); err != nil {
+			return nil, daisygap.Fail("read version", e.Key, err)
+		}
+		patches = append(patches, p)
+	}
+	return patches, nil
+}
+
+// readSnapshot adopts the snapshot in the store.
+func (d *Daemon) readSnapshot(ctx context.Context) error {
+	entry, err := d.Store.Get(ctx, snapshotKey)
+	if err != nil {
+		return err
+	}
+	var m manifest
+	if entry.Revision == 0 || json.Unmarshal(entry.Value, &m) != nil {
+		return daisygap.Fail("read snapshot", snapshotKey, fmt.Errorf("the key holds no manifest"))
+	}
+	parts := make([][]byte, m.Parts)
+	for i := range parts {
+		e, err := d.Store.Get(ctx, partKey(m.Slot, i))
+		if err != nil {
+			return err
+		}
+		parts[i] = e.Value
+	}
+	state, err := configuration.Decode(m.Version, parts)
+	if err != nil {
+		return daisygap.Fail("read snapshot", snapshotKey, err)
+	}
+	d.adopt(state)
+	return nil
+}
+
+// writeSnapshot stores the current version in the slot that isn't in use, and trims the versions before the last one.
+func (d *Daemon) writeSnapshot(ctx context.Context) error {
+	state := d.state.Load()
+	entry, err := d.Store.Get(ctx, snapshotKey)
+	if err != nil {
+		return err
+	}
+	var last manifest
+	if entry.Revision > 0 {
+		if err := json.Unmarshal(entry.Value, &last); err != nil {
+			return err
+		}
+	}
+	if last.Version >= state.Version {
+		return nil
+	}
+	parts := configuration.Encode(state)
+	next := manifest{Version: state.Version, Parts: len(parts), Slot: 1 - last.Slot}
+	for i, part := range parts {
+		if err := d.overwrite(ctx, partKey(next.Slot, i), part); err != nil {
+			return err
+		}
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	if _, err := d.Store.Swap(ctx, snapshotKey, value, entry.Revision, ""); err != nil {
+		return err
+	}
+	d.Log.With("config").Infof("snapshot %d is stored in %d parts", next.Version, next.Parts)
+	return d.trim(ctx, last.Version)
+}
+
+func (d *Daemon) overwrite(ctx context.Context, key string, value []byte) error {
+	e, err := d.Store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	_, err = d.Store.Swap(ctx, key, value, e.Revision, "")
+	return err
+}
+
+// trim deletes versions up to the snapshot before the last, slowly enough to leave the store's writes to others.
+func (d *Daemon) trim(ctx context.Context, upTo uint64) error {
+	batch, err := d.Store.List(ctx, versionPrefix, "", listLimit)
+	if err != nil {
+		return err
+	}
+	for _, e := range batch.Entries {
+		if e.Key > versionKey(upTo) {
+			return nil
+		}
+		if _, err := d.Store.Swap(ctx, e.Key, nil, e.Revision, ""); err != nil {
+			return err
+		}
+		if !d.pause(trimMillis) {
+			return nil
+		}
+	}
+	return nil
+}
+
+const trimMillis = daisygap.Millis(50)
+
+// runWatch follows the store's versions while this daemon holds its domain's lease.
+func (d *Daemon) runWatch() {
+	for d.ctx.Err() == nil {
+		if !d.holdsStoreLease() {
+			d.pause(d.jitter(retryMillis))
+			continue
+		}
+		revision, err := d.readVersions(d.ctx)
+		if err == nil {
+			err = d.follow(revision)
+		}
+		if err != nil {
+			d.Log.With("config").Debugf("the watch ended: %v", err)
+			d.pause(d.jitter(2 * retryMillis))
+		}
+	}
+}
+
+func (d *Daemon) follow(revision uint64) error {
+	for d.holdsStoreLease() {
+		batch, err := d.Store.Watch(d.ctx, versionPrefix, revision, d.Timing.Watch)
+		if err != nil {
+			return err
+		}
+		patches, err := decodePatches(batch.Entries)
+		if err != nil {
+			return err
+		}
+		before := d.Version()
+		d.spreadPatches(d.applyPatches(patches))
+		if len(patches) > 0 && patches[len(patches)-1].Version > d.Version() {
+			return fmt.Errorf("version %d arrived before version %d", patches[0].Version, d.Version()+1)
+		}
+		revision = max(revision, batch.Revision)
+		d.maybeSnapshot(before, d.Version())
+	}
+	return nil
+}
+
+// maybeSnapshot writes a snapshot when a multiple of SnapshotEvery was passed; the domains take turns.
+func (d *Daemon) maybeSnapshot(before, after uint64) {
+	turn := after / configuration.SnapshotEvery
+	if turn == before/configuration.SnapshotEvery {
+		return
+	}
+	if int(turn)%max(len(d.config().Domains), 1) != d.domainIndex() {
+		return
+	}
+	if err := d.writeSnapshot(d.ctx); err != nil {
+		d.Log.With("config").Warnf("the snapshot wasn't stored: %v", err)
+	}
+}
+
+// domainIndex returns the place of the own domain among all, in order of names.
+func (d *Daemon) domainIndex() int {
+	place := 0
+	for name := range d.config().Domains {
+		if name < d.Settings.Domain {
+			place++
+		}
+	}
+	return place
+}
+
+// part returns a piece of a snapshot of the current version for another daemon.
+func (d *Daemon) part(version uint64, n int) (daisygap.Part, error) {
+	v := &d.versions
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.parts == nil || v.partOf != version {
+		state := d.state.Load()
+		v.parts, v.partOf = configuration.Encode(state), state.Version
+	}
+	if n < 0 || n >= len(v.parts) {
+		return daisygap.Part{}, fmt.Errorf("part %d of %d", n, len(v.parts))
+	}
+	return daisygap.Part{Version: v.partOf, Parts: len(v.parts), Data: v.parts[n]}, nil
+}
+
+// dropParts frees the encoded snapshot when nobody fetches it any more.
+func (d *Daemon) dropParts() {
+	d.versions.mu.Lock()
+	defer d.versions.mu.Unlock()
+	d.versions.parts = nil
+}
+
+// fetchSnapshot adopts a whole version from another daemon.
+func (d *Daemon) fetchSnapshot(address string) error {
+	first, err := d.Peers.Part(d.ctx, address, 0, 0)
+	if err != nil {
+		return err
+	}
+	parts := [][]byte{first.Data}
+	for i := 1; i < first.Parts; i++ {
+		p, err := d.Peers.Part(d.ctx, address, first.Version, i)
+		if err != nil {
+			return err
+		}
+		if p.Version != first.Version {
+			return fmt.Errorf("the snapshot changed from %d to %d", first.Version, p.Version)
+		}
+		parts = append(parts, p.Data)
+	}
+	state, err := configuration.Decode(first.Version, parts)
+	if err != nil {
+		return daisygap.Fail("read snapshot", address, err)
+	}
+	d.adopt(state)
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/entry/daemon.go
@@ -0,0 +1,197 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/caller"
+	"github.com/daisygap/daisygap/internal/adapter/upstream"
+	"github.com/daisygap/daisygap/internal/policy/configuration"
+	"github.com/daisygap/daisygap/internal/policy/membership"
+	"github.com/daisygap/daisygap/internal/policy/routing"
+)
+
+// Timing holds the spans that the control parts work with, in milliseconds.
+type Timing struct {
+	// Beat is the shortest span between two heartbeats; it grows with the members so that the leaseholder's load stays level.
+	Beat daisygap.Millis
+	// BeatPerMember is the part of the span that each member of the domain adds.
+	BeatPerMember daisygap.Millis
+	// StoreLease is the length of the domain's lease in the store.
+	StoreLease daisygap.Millis
+	// MemberLease is the length of a member's lease; it outlasts the take-over of a failed leaseholder.
+	MemberLease daisygap.Millis
+	// Gossip is the shortest span between two exchanges with another domain, and GossipPerDomain what each domain adds.
+	Gossip          daisygap.Millis
+	GossipPerDomain daisygap.Millis
+	// Watch is how long one watch waits for a change.
+	Watch daisygap.Millis
+	// Totals is the span between two writes of refusal totals.
+	Totals daisygap.Millis
+}
+
+// DefaultTiming returns the spans for production.
+func DefaultTiming() Timing {
+	return Timing{
+		Beat: 500, BeatPerMember: 110, StoreLease: 3_000, MemberLease: 8_000,
+		Gossip: 1_000, GossipPerDomain: 60, Watch: 20_000, Totals: 10_000,
+	}
+}
+
+// Daemon is one entry host; set the fields before Run.
+type Daemon struct {
+	Settings *daisygap.Settings
+	Clock    *daisygap.Clock
+	Store    daisygap.Store
+	Peers    daisygap.Peers
+	Upstream *upstream.Client
+	Carry    *upstream.Client
+	Log      daisygap.Log
+	Timing   Timing
+	// Seed makes the random choices repeatable in tests; 0 takes a random one.
+	Seed uint64
+
+	incarnation string
+	self        daisygap.Host
+	reader      caller.Reader
+	ctx         context.Context
+	group       sync.WaitGroup
+	stopping    atomic.Bool
+	left        atomic.Bool
+	inFlight    sync.WaitGroup
+	flying      atomic.Int64
+
+	state atomic.Pointer[configuration.State]
+	world atomic.Pointer[routing.World]
+	table atomic.Pointer[routing.Table]
+	pools atomic.Pointer[map[string]*upstream.Pool]
+
+	versions versions
+	members  members
+	gossip   gossip
+	links    links
+	prints   prints
+	budgets  budgets
+	tally    tally
+	loans    loans
+
+	replanned chan struct{}
+	randomMu  sync.Mutex
+	random    *rand.Rand
+}
+
+// Run starts the control parts; they end when the context does.
+func (d *Daemon) Run(ctx context.Context) {
+	d.ctx = ctx
+	d.incarnation = uuid.NewString()
+	d.self = daisygap.Host{Name: d.Settings.Host, Caller: d.Settings.Caller, Carry: d.Settings.Carry, Peer: d.Settings.Peer}
+	d.reader = caller.Reader{Clock: d.Clock}
+	for _, t := range d.Settings.Trust {
+		if p, err := netip.ParsePrefix(t); err == nil {
+			d.reader.Trust = append(d.reader.Trust, p)
+		}
+	}
+	seed := d.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	d.random = rand.New(rand.NewPCG(seed, 1))
+	d.replanned = make(chan struct{}, 1)
+	d.members.member = membership.Member{Host: d.Settings.Host}
+	d.members.contacts = make(map[string]contact)
+	d.gossip.records = make(map[string]daisygap.Record)
+	d.gossip.advanced = make(map[string]daisygap.Millis)
+	d.loans.short = make(chan string, 16)
+	d.tally.counts = make(map[tallyKey]int64)
+	d.state.Store(configuration.Empty())
+	pools := make(map[string]*upstream.Pool)
+	d.pools.Store(&pools)
+
+	d.group.Go(d.startConfiguration)
+	d.group.Go(d.runPlanner)
+	d.group.Go(d.runMembership)
+	d.group.Go(d.runGossip)
+	d.group.Go(d.runLoans)
+	d.group.Go(d.runTicks)
+	d.group.Go(d.runWatch)
+	d.group.Go(d.runTotals)
+	d.group.Go(d.runHealth)
+}
+
+// Wait returns when all control parts have ended after the context of Run.
+func (d *Daemon) Wait() {
+	d.group.Wait()
+}
+
+// Ready tells whether the daemon has a configuration and a lease.
+func (d *Daemon) Ready() bool {
+	return d.state.Load().Version > 0 && d.usable()
+}
+
+// Version returns the configuration version in force here.
+func (d *Daemon) Version() uint64 {
+	return d.state.Load().Version
+}
+
+// config returns the configuration in force here.
+func (d *Daemon) config() *daisygap.Configuration {
+	return d.state.Load().Config
+}
+
+func (d *Daemon) pool(group string) *upstream.Pool {
+	return (*d.pools.Load())[group]
+}
+
+// pause waits for a span of the wall clock, and reports false when the daemon ends.
+func (d *Daemon) pause(span daisygap.Millis) bool {
+	timer := time.NewTimer(span.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-d.ctx.Done():
+		return false
+	}
+}
+
+// jitter returns a span between three quarters and five quarters of the given one.
+func (d *Daemon) jitter(span daisygap.Millis) daisygap.Millis {
+	d.randomMu.Lock()
+	defer d.randomMu.Unlock()
+	return span*3/4 + daisygap.Millis(d.random.Int64N(int64(span)/2+1))
+}
+
+func (d *Daemon) pick(n int) int {
+	d.randomMu.Lock()
+	defer d.randomMu.Unlock()
+	return d.random.IntN(n)
+}
+
+// runTicks gives out slots that become free by time alone.
+func (d *Daemon) runTicks() {
+	for d.pause(tickMillis) {
+		for _, p := range *d.pools.Load() {
+			p.Tick()
+		}
+		d.links.release(d.Clock.Now())
+	}
+}
+
+const tickMillis = daisygap.Millis(20)
+
+// track counts a request in flight; call the result when it ends.
+func (d *Daemon) track() func() {
+	d.inFlight.Add(1)
+	d.flying.Add(1)
+	return func() {
+		d.flying.Add(-1)
+		d.inFlight.Done()
+	}
+}
--- /dev/null
+++ b/internal/daemon/entry/faces.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/caller"
+	"github.com/daisygap/daisygap/internal/adapter/operator"
+	"github.com/daisygap/daisygap/internal/adapter/peer"
+)
+
+// Limits of the HTTP faces.
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 120 * time.Second
+	maxHeader     = 64 << 10
+)
+
+// Faces are the addresses that a daemon listens on; set the fields before Open.
+type Faces struct {
+	Daemon *Daemon
+	// Secure is the TLS configuration of the carry, peer and operator faces, or nil.
+	Secure *tls.Config
+
+	caller   *http.Server
+	carry    *http.Server
+	operator *http.Server
+	peer     *peer.Server
+	sockets  []net.Listener
+	group    sync.WaitGroup
+}
+
+// Open binds all addresses; port 0 is replaced in the settings by the port it got.
+func (f *Faces) Open() error {
+	s := f.Daemon.Settings
+	for _, address := range []*string{&s.Caller, &s.Carry, &s.Peer, &s.Operator} {
+		l, err := net.Listen("tcp", *address)
+		if err != nil {
+			f.closeSockets()
+			return daisygap.Fail("listen", *address, err)
+		}
+		*address = l.Addr().String()
+		f.sockets = append(f.sockets, l)
+	}
+	return nil
+}
+
+func (f *Faces) closeSockets() {
+	for _, l := range f.sockets {
+		_ = l.Close()
+	}
+}
+
+// Run starts to serve on the open addresses.
+func (f *Faces) Run() {
+	d := f.Daemon
+	lookup := &caller.Lookup{Table: d.Table, Refuse: d.RefuseLookup}
+	f.caller = server(frontHandler(lookup, d.ServeCaller))
+	f.carry = server(http.HandlerFunc(d.ServeHop))
+	face := &operator.Server{Operations: d, Token: d.Settings.Token, Pprof: d.Settings.Pprof}
+	f.operator = server(face.Handler())
+	f.peer = &peer.Server{Service: d, Log: d.Log.With("peer")}
+
+	f.serve(f.caller, f.sockets[0])
+	f.serve(f.carry, f.secured(f.sockets[1]))
+	f.group.Go(func() { f.peer.Run(f.secured(f.sockets[2])) })
+	f.serve(f.operator, f.secured(f.sockets[3]))
+}
+
+func (f *Faces) secured(l net.Listener) net.Listener {
+	if f.Secure == nil {
+		return l
+	}
+	return tls.NewListener(l, f.Secure)
+}
+
+func server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+}
+
+// frontHandler sends look-ups to their handler and everything else to be carried.
+func frontHandler(lookup http.Handler, carry http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == caller.LookupPath {
+			lookup.ServeHTTP(w, r)
+			return
+		}
+		carry(w, r)
+	})
+}
+
+func (f *Faces) serve(s *http.Server, l net.Listener) {
+	f.group.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			f.Daemon.Log.With("face").Warnf("serving %s ended: %v", l.Addr(), err)
+		}
+	})
+}
+
+// Drain stops accepting callers' and daemons' requests and waits for those in flight.
+func (f *Faces) Drain(ctx context.Context) error {
+	return errors.Join(f.caller.Shutdown(ctx), f.carry.Shutdown(ctx))
+}
+
+// Close ends everything at once.
+func (f *Faces) Close() {
+	_ = f.caller.Close()
+	_ = f.carry.Close()
+	_ = f.operator.Close()
+	f.closeSockets()
+	f.peer.Close()
+	f.group.Wait()
+}
--- /dev/null
+++ b/internal/daemon/entry/gossip.go
@@ -0,0 +1,455 @@
+package entry
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"sort"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/policy/routing"
+)
+
+const (
+	// treeWidth is the number of daemons that each one passes a push on to.
+	treeWidth = 4
+	// Exchanges without a sign of life after which a domain counts as lost.
+	lostAfter = 8
+	// Part of a domain's slots by which its load must change to be told.
+	loadStep = 0.1
+	// A domain shares no more hosts than this in its record.
+	maxHosts = 64
+)
+
+// gossip is what this daemon knows of all domains.
+type gossip struct {
+	mu       sync.Mutex
+	records  map[string]daisygap.Record
+	advanced map[string]daisygap.Millis
+	lost     map[string]bool
+	dirty    bool
+	given    daisygap.Millis
+}
+
+func (g *gossip) get(domain string) (daisygap.Record, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r, ok := g.records[domain]
+	return r, ok
+}
+
+// snapshot returns all records, with those of lost domains marked.
+func (g *gossip) snapshot() map[string]daisygap.Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	records := maps.Clone(g.records)
+	for name, r := range records {
+		r.Lost = g.lost[name]
+		records[name] = r
+	}
+	return records
+}
+
+// sum is equal on two daemons that hold the same records.
+func (g *gossip) sum() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var sum uint64
+	for name, r := range g.records {
+		h := xxhash.Sum64String(name) ^ r.Seq
+		sum ^= h * 0x9e3779b97f4a7c15
+	}
+	// JSON numbers of other decoders keep 53 bits.
+	return sum >> 11
+}
+
+func (g *gossip) digest(version uint64) daisygap.Digest {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	digest := daisygap.Digest{Version: version, Seen: make(map[string]daisygap.Seen, len(g.records))}
+	for name, r := range g.records {
+		digest.Seen[name] = daisygap.Seen{Seq: r.Seq, Beat: r.Beat}
+	}
+	return digest
+}
+
+// merge keeps the newer records and returns those that were new here.
+func (g *gossip) merge(own string, records []daisygap.Record, now daisygap.Millis) []daisygap.Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var fresh []daisygap.Record
+	for _, r := range records {
+		old, known := g.records[r.Domain]
+		if known && r.Seq <= old.Seq {
+			continue
+		}
+		if r.Domain != own {
+			g.advanced[r.Domain] = now
+		}
+		r.Beat = max(r.Beat, old.Beat)
+		g.records[r.Domain] = r
+		fresh = append(fresh, r)
+	}
+	return fresh
+}
+
+// hear notes signs of life of domains.
+func (g *gossip) hear(beats map[string]daisygap.Seen, now daisygap.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, seen := range beats {
+		r, ok := g.records[name]
+		if !ok || seen.Beat <= r.Beat {
+			continue
+		}
+		r.Beat = seen.Beat
+		g.records[name] = r
+		g.advanced[name] = now
+	}
+}
+
+// newer returns what the other side lacks, and the domains of which it has more.
+func (g *gossip) newer(digest daisygap.Digest) (records []daisygap.Record, beats map[string]daisygap.Seen, want []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	beats = make(map[string]daisygap.Seen)
+	for name, r := range g.records {
+		seen := digest.Seen[name]
+		switch {
+		case r.Seq > seen.Seq:
+			records = append(records, r)
+		case r.Seq < seen.Seq:
+			want = append(want, name)
+		case r.Beat > seen.Beat:
+			beats[name] = daisygap.Seen{Seq: r.Seq, Beat: r.Beat}
+		}
+	}
+	for name := range digest.Seen {
+		if _, ok := g.records[name]; !ok {
+			want = append(want, name)
+		}
+	}
+	return records, beats, want
+}
+
+// findLost returns whether the set of lost domains changed.
+func (g *gossip) findLost(own string, limit, now daisygap.Millis) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	lost := make(map[string]bool)
+	for name := range g.records {
+		if name != own && now-g.advanced[name] > limit {
+			lost[name] = true
+		}
+	}
+	changed := !maps.Equal(lost, g.lost)
+	g.lost = lost
+	return changed
+}
+
+func (g *gossip) lostDomains() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Sorted(maps.Keys(g.lost))
+}
+
+// setLost takes in the leaseholder's view of which domains are lost.
+func (g *gossip) setLost(names []string, changed func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	lost := make(map[string]bool, len(names))
+	for _, name := range names {
+		lost[name] = true
+	}
+	if !maps.Equal(lost, g.lost) {
+		g.lost = lost
+		changed()
+	}
+}
+
+// gossipChanged makes the next own record go out even if the load is the same.
+func (d *Daemon) gossipChanged() {
+	d.gossip.mu.Lock()
+	defer d.gossip.mu.Unlock()
+	d.gossip.dirty = true
+}
+
+// gossipSpan grows with the domains, so that each daemon's bytes stay level.
+func (d *Daemon) gossipSpan() daisygap.Millis {
+	n := daisygap.Millis(len(d.config().Domains))
+	return max(d.Timing.Gossip, n*d.Timing.GossipPerDomain)
+}
+
+// runGossip tells other domains about this one, and learns from them, while this daemon is the leaseholder.
+func (d *Daemon) runGossip() {
+	for d.pause(d.jitter(d.gossipSpan())) {
+		if !d.IsHolder() {
+			continue
+		}
+		d.updateRecord()
+		if address, ok := d.otherDomain(); ok {
+			d.syncWith(address)
+		}
+		if d.gossip.findLost(d.Settings.Domain, lostAfter*d.gossipSpan(), d.Clock.Now()) {
+			d.Log.With("gossip").Infof("lost domains: %v", d.gossip.lostDomains())
+			d.replan()
+		}
+	}
+}
+
+// updateRecord makes the own domain's record from the members' heartbeats, and spreads it when it changed enough.
+func (d *Daemon) updateRecord() {
+	alive := d.alive()
+	epoch := d.epoch()
+	c := d.config()
+	g := &d.gossip
+	g.mu.Lock()
+	old := g.records[d.Settings.Domain]
+	now := d.Clock.Now()
+	next := daisygap.Record{
+		Domain: d.Settings.Domain,
+		Seq:    old.Seq,
+		Beat:   max(old.Beat+1, epoch<<32),
+		Groups: make(map[string]daisygap.Load),
+		Give:   make(map[string]float64),
+		Prints: d.prints.ownBlocked(now),
+	}
+	for _, m := range alive[:min(len(alive), maxHosts)] {
+		next.Hosts = append(next.Hosts, m.host)
+	}
+	for name := range c.Groups {
+		next.Groups[name] = sumLoads(alive, name)
+	}
+	step := c.Lookup.Step * float64(min(now-g.given, 2*d.gossipSpan())) / 1000
+	g.given = now
+	for name, load := range next.Groups {
+		if load.Slots == 0 && !c.DomainDrained(d.Settings.Domain) && old.Groups[name].Slots == 0 {
+			continue
+		}
+		if give := routing.NextGive(old.Give[name], load, c.DomainDrained(d.Settings.Domain), step); give > 0 {
+			next.Give[name] = give
+		}
+	}
+	changed := g.dirty || old.Seq>>32 != epoch || changedEnough(old, next)
+	if !changed {
+		next.Hosts, next.Groups, next.Give = old.Hosts, old.Groups, old.Give
+	} else {
+		next.Seq = max(old.Seq+1, epoch<<32)
+	}
+	g.dirty = false
+	g.records[d.Settings.Domain] = next
+	g.mu.Unlock()
+	if changed {
+		d.replan()
+		d.spread(daisygap.Push{Records: []daisygap.Record{next}})
+	}
+}
+
+func (d *Daemon) epoch() uint64 {
+	d.members.mu.Lock()
+	defer d.members.mu.Unlock()
+	return d.members.member.View().Epoch
+}
+
+func sumLoads(list []contact, group string) daisygap.Load {
+	var sum daisygap.Load
+	for _, c := range list {
+		l := c.loads[group]
+		sum.Slots += l.Slots
+		sum.Running += l.Running
+		sum.Waiting += l.Waiting
+	}
+	return sum
+}
+
+// changedEnough spares messages about small changes of load.
+func changedEnough(old, next daisygap.Record) bool {
+	if !slices.Equal(old.Hosts, next.Hosts) || !maps.Equal(old.Give, next.Give) || !slices.Equal(old.Prints, next.Prints) {
+		return true
+	}
+	for name, load := range next.Groups {
+		before := old.Groups[name]
+		if before.Slots != load.Slots {
+			return true
+		}
+		limit := loadStep * float64(load.Slots)
+		if math.Abs(float64(load.Running-before.Running)) > limit || math.Abs(float64(load.Waiting-before.Waiting)) > limit {
+			return true
+		}
+	}
+	return false
+}
+
+// otherDomain picks a daemon of another domain to exchange with: any known one, or one from the settings.
+func (d *Daemon) otherDomain() (string, bool) {
+	var list []string
+	records := d.gossip.snapshot()
+	names := slices.Sorted(maps.Keys(records))
+	for _, name := range names {
+		if name == d.Settings.Domain {
+			continue
+		}
+		for _, h := range records[name].Hosts {
+			list = append(list, h.Peer)
+		}
+	}
+	if len(list) < 2 || d.pick(8) == 0 {
+		for _, p := range d.Settings.Peers {
+			if p != d.Settings.Peer {
+				list = append(list, p)
+			}
+		}
+	}
+	if len(list) == 0 {
+		return "", false
+	}
+	return list[d.pick(len(list))], true
+}
+
+// syncWith exchanges what is newer on either side with another daemon.
+func (d *Daemon) syncWith(address string) {
+	delta, err := d.Peers.Sync(d.ctx, address, d.gossip.digest(d.Version()))
+	if err != nil {
+		d.Log.With("gossip").Debugf("exchange failed: %v", err)
+		return
+	}
+	now := d.Clock.Now()
+	d.gossip.hear(delta.Beats, now)
+	d.takeRecords(delta.Records)
+	if delta.Far {
+		if err := d.fetchSnapshot(address); err != nil {
+			d.Log.With("config").Warnf("no snapshot from %s: %v", address, err)
+		}
+	}
+	d.spreadPatches(d.applyPatches(delta.Patches))
+	d.answerWants(address, delta)
+}
+
+// answerWants sends the records and patches that the other side lacks.
+func (d *Daemon) answerWants(address string, delta daisygap.Delta) {
+	var push daisygap.Push
+	for _, name := range delta.Want {
+		if r, ok := d.gossip.get(name); ok {
+			push.Records = append(push.Records, r)
+		}
+	}
+	if delta.Version < d.Version() {
+		push.Patches, _ = d.versions.since(delta.Version, d.Version())
+	}
+	if len(push.Records)+len(push.Patches) == 0 {
+		return
+	}
+	if err := d.Peers.Push(d.ctx, address, push); err != nil {
+		d.Log.With("gossip").Debugf("push failed: %v", err)
+	}
+}
+
+// takeRecords merges records and passes new ones on inside the domain.
+func (d *Daemon) takeRecords(records []daisygap.Record) {
+	now := d.Clock.Now()
+	fresh := d.gossip.merge(d.Settings.Domain, records, now)
+	if len(fresh) == 0 {
+		return
+	}
+	for _, r := range fresh {
+		d.prints.block(r.Prints, now)
+	}
+	d.replan()
+	d.spread(daisygap.Push{Records: fresh})
+}
+
+// ServeSync answers another daemon's digest.
+func (d *Daemon) ServeSync(digest daisygap.Digest) daisygap.Delta {
+	version := d.Version()
+	delta := daisygap.Delta{Version: version}
+	delta.Records, delta.Beats, delta.Want = d.gossip.newer(digest)
+	delta.Patches, delta.Far = d.versions.since(digest.Version, version)
+	return delta
+}
+
+// ServePush takes in what another daemon spreads and passes it on along the tree.
+func (d *Daemon) ServePush(p daisygap.Push) {
+	now := d.Clock.Now()
+	for _, c := range p.Crashes {
+		d.noteCrash(c)
+	}
+	freshPatches := d.applyPatches(p.Patches)
+	freshRecords := d.gossip.merge(d.Settings.Domain, p.Records, now)
+	for _, r := range freshRecords {
+		d.prints.block(r.Prints, now)
+	}
+	if len(freshRecords) > 0 {
+		d.replan()
+	}
+	if len(p.Order) > 0 {
+		d.passOn(p)
+		return
+	}
+	if len(freshPatches)+len(freshRecords)+len(p.Crashes) > 0 {
+		d.spread(daisygap.Push{Patches: freshPatches, Records: freshRecords, Crashes: p.Crashes})
+	}
+}
+
+// ServePart returns a piece of a configuration snapshot.
+func (d *Daemon) ServePart(version uint64, part int) (daisygap.Part, error) {
+	return d.part(version, part)
+}
+
+// spreadPatches passes new versions on inside the domain.
+func (d *Daemon) spreadPatches(patches []daisygap.Patch) {
+	if len(patches) > 0 {
+		d.spread(daisygap.Push{Patches: patches})
+	}
+}
+
+// spread sends a push to the whole domain along a tree with this daemon at its root.
+func (d *Daemon) spread(p daisygap.Push) {
+	p.Order = d.treeOrder()
+	d.passOn(p)
+}
+
+// treeOrder lists the domain's daemons with this one first.
+func (d *Daemon) treeOrder() []daisygap.Contact {
+	order := []daisygap.Contact{{Name: d.Settings.Host, Peer: d.Settings.Peer}}
+	record, _ := d.gossip.get(d.Settings.Domain)
+	hosts := slices.Clone(record.Hosts)
+	if d.IsHolder() {
+		hosts = nil
+		for _, c := range d.alive() {
+			hosts = append(hosts, c.host)
+		}
+	}
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Name < hosts[j].Name })
+	for _, h := range hosts {
+		if h.Name != d.Settings.Host {
+			order = append(order, daisygap.Contact{Name: h.Name, Peer: h.Peer})
+		}
+	}
+	return order
+}
+
+// passOn sends a push to this daemon's children in the tree; a child that can't be reached is made up for by its heartbeat.
+func (d *Daemon) passOn(p daisygap.Push) {
+	place := slices.IndexFunc(p.Order, func(c daisygap.Contact) bool { return c.Name == d.Settings.Host })
+	if place < 0 {
+		return
+	}
+	for i := treeWidth*place + 1; i <= treeWidth*place+treeWidth && i < len(p.Order); i++ {
+		child := p.Order[i].Peer
+		d.background(func() {
+			if err := d.Peers.Push(d.ctx, child, p); err != nil {
+				d.Log.With("gossip").Debugf("push failed: %v", err)
+			}
+		})
+	}
+}
+
+// background runs a short task that the daemon waits for at its end.
+func (d *Daemon) background(task func()) {
+	if d.ctx.Err() == nil {
+		d.group.Go(task)
+	}
+}
--- /dev/null
+++ b/internal/daemon/entry/health.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/daisygap/daisygap"
+)
+
+const (
+	healthMillis  = daisygap.Millis(2_000)
+	healthTimeout = 500 * time.Millisecond
+	maxHealthBody = 4 << 10
+)
+
+// runHealth reads the health endpoints of the domain's upstreams; it only learns of drains there, since the rest lags or misleads.
+func (d *Daemon) runHealth() {
+	for d.pause(d.jitter(healthMillis)) {
+		for _, u := range d.watched() {
+			if d.ctx.Err() != nil {
+				return
+			}
+			if d.drains(u.Address) {
+				if p := d.pool(u.Group); p != nil {
+					p.NoteDrain(u.name)
+				}
+			}
+		}
+	}
+}
+
+type watchedUpstream struct {
+	name string
+	daisygap.Upstream
+}
+
+// watched returns the upstreams whose health this daemon reads for itself.
+func (d *Daemon) watched() []watchedUpstream {
+	var list []watchedUpstream
+	for name, u := range d.config().Upstreams {
+		if u.Domain == d.Settings.Domain {
+			list = append(list, watchedUpstream{name: name, Upstream: u})
+		}
+	}
+	return list
+}
+
+// drains asks an upstream whether it is leaving.
+func (d *Daemon) drains(address string) bool {
+	ctx, cancel := context.WithTimeout(d.ctx, healthTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/health", http.NoBody)
+	if err != nil {
+		return false
+	}
+	res, err := d.Upstream.Send(ctx, req, true)
+	if err != nil {
+		return false
+	}
+	defer closeBody(res)
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxHealthBody))
+	return res.Header.Get(daisygap.HeaderDrain) != ""
+}
--- /dev/null
+++ b/internal/daemon/entry/loans.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/upstream"
+)
+
+const (
+	loanUpkeep = 100 * time.Millisecond
+	// Least span between two rounds of asking for one group.
+	loanRound = daisygap.Millis(20)
+)
+
+// loans carries the wish for more slots from the pools to the part that asks other daemons.
+type loans struct {
+	short chan string
+}
+
+// want notes that a group's requests wait; it never blocks.
+func (l *loans) want(group string) {
+	select {
+	case l.short <- group:
+	default:
+	}
+}
+
+// runLoans asks for slots when requests wait, and keeps up or returns what was borrowed.
+func (d *Daemon) runLoans() {
+	ticker := time.NewTicker(loanUpkeep)
+	defer ticker.Stop()
+	last := make(map[string]daisygap.Millis)
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case group := <-d.loans.short:
+			if now := d.Clock.Now(); now-last[group] >= loanRound {
+				last[group] = now
+				d.borrow(group)
+			}
+		case <-ticker.C:
+			d.keepUpLoans()
+		}
+	}
+}
+
+// borrow asks the domain's other daemons in turn until the waiting requests have slots.
+func (d *Daemon) borrow(group string) {
+	pool := d.pool(group)
+	if pool == nil {
+		return
+	}
+	for _, c := range d.treeOrder()[1:] {
+		want := pool.Wanted()
+		if want == 0 {
+			return
+		}
+		asked := d.Clock.Now()
+		answer, err := d.Peers.Loan(d.ctx, c.Peer, daisygap.LoanCall{Group: group, Host: d.self.Peer, Want: want})
+		if err != nil {
+			d.Log.With("loan").Debugf("no loan: %v", err)
+			continue
+		}
+		if len(answer.Lent) > 0 {
+			metrics.GetOrCreateCounter(`daisygap_loans_total{group="` + group + `"}`).Inc()
+			pool.Borrow(c.Peer, answer.Lent, asked)
+		}
+	}
+}
+
+// keepUpLoans extends loans in use, returns ended ones and recalls what own requests need.
+func (d *Daemon) keepUpLoans() {
+	for group, pool := range *d.pools.Load() {
+		for _, due := range pool.Upkeep() {
+			d.keepUp(group, pool, due)
+		}
+		if pool.Recallable() {
+			d.recall(group)
+		}
+	}
+}
+
+func (d *Daemon) keepUp(group string, pool *upstream.Pool, due upstream.Due) {
+	if len(due.Extend)+len(due.Return) == 0 {
+		return
+	}
+	asked := d.Clock.Now()
+	call := daisygap.LoanCall{Group: group, Host: d.self.Peer, Extend: due.Extend, Return: due.Return}
+	answer, err := d.Peers.Loan(d.ctx, due.Peer, call)
+	if err != nil {
+		d.Log.With("loan").Debugf("a loan wasn't kept up: %v", err)
+		return
+	}
+	pool.Prolong(due.Peer, answer.Extended, asked)
+}
+
+func (d *Daemon) recall(group string) {
+	call := daisygap.LoanCall{Group: group, Host: d.self.Peer, Recall: true}
+	for _, c := range d.treeOrder()[1:] {
+		d.background(func() {
+			if _, err := d.Peers.Loan(d.ctx, c.Peer, call); err != nil {
+				d.Log.With("loan").Debugf("a recall failed: %v", err)
+			}
+		})
+	}
+}
+
+// ServeLoan lends, extends, takes back or gives up slots for another daemon of the domain.
+func (d *Daemon) ServeLoan(c daisygap.LoanCall) daisygap.LoanAnswer {
+	pool := d.pool(c.Group)
+	if pool == nil {
+		return daisygap.LoanAnswer{}
+	}
+	if c.Recall {
+		pool.Recall(c.Host)
+		return daisygap.LoanAnswer{}
+	}
+	var answer daisygap.LoanAnswer
+	if len(c.Return) > 0 {
+		pool.TakeBack(c.Host, c.Return)
+	}
+	if d.stopping.Load() {
+		return answer
+	}
+	if len(c.Extend) > 0 {
+		answer.Extended = pool.Extend(c.Host, c.Extend)
+	}
+	if c.Want > 0 {
+		answer.Lent = pool.Lend(c.Host, c.Want)
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/daemon/entry/operations.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sort"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/policy/routing"
+)
+
+var (
+	_ daisygap.Operations  = (*Daemon)(nil)
+	_ daisygap.PeerService = (*Daemon)(nil)
+)
+
+// Status returns what this daemon knows.
+func (d *Daemon) Status() daisygap.Status {
+	d.members.mu.Lock()
+	view := d.members.member.View()
+	d.members.mu.Unlock()
+	s := daisygap.Status{
+		Host: d.Settings.Host, Domain: d.Settings.Domain, Region: d.Settings.Region,
+		Version: d.Version(), Ready: d.Ready(), Leased: d.usable(), Holder: d.IsHolder(),
+		Stopping: d.stopping.Load(), InFlight: d.flying.Load(), View: view,
+	}
+	records := d.gossip.snapshot()
+	c := d.config()
+	for _, name := range slices.Sorted(maps.Keys(c.Domains)) {
+		s.Domains = append(s.Domains, domainStatus(c, name, records[name]))
+	}
+	pools := *d.pools.Load()
+	for _, group := range slices.Sorted(maps.Keys(pools)) {
+		for _, u := range pools[group].Upstreams() {
+			u.Group = group
+			s.Upstreams = append(s.Upstreams, u)
+		}
+	}
+	return s
+}
+
+func domainStatus(c *daisygap.Configuration, name string, r daisygap.Record) daisygap.DomainStatus {
+	s := daisygap.DomainStatus{
+		Domain: name, Region: c.Domains[name].Region,
+		Lost: r.Lost || r.Domain == "", Drained: c.DomainDrained(name), Loads: r.Groups, Give: r.Give,
+	}
+	for _, h := range r.Hosts {
+		s.Hosts = append(s.Hosts, h.Name)
+	}
+	if s.Drained {
+		for group := range r.Groups {
+			left := (1 - r.Give[group]) / c.Lookup.Step * 1000
+			s.Left = max(s.Left, daisygap.Millis(left))
+		}
+	}
+	return s
+}
+
+// Document returns the version in force as JSON, with the signing keys masked.
+func (d *Daemon) Document() (uint64, json.RawMessage, error) {
+	state := d.state.Load()
+	mask := make(map[string]any)
+	for name := range state.Config.Keys {
+		mask[name] = "(hidden)"
+	}
+	patch, err := json.Marshal(map[string]any{"keys": mask})
+	if err != nil {
+		return 0, nil, err
+	}
+	document, err := jsonpatch.MergePatch(state.Document, patch)
+	return state.Version, document, err
+}
+
+// History returns the patches after a version, from here or from the store; signing keys in them are masked.
+func (d *Daemon) History(ctx context.Context, since uint64) ([]daisygap.Patch, bool, error) {
+	if err := d.catchUp(ctx); err != nil {
+		d.Log.With("config").Debugf("history without the store: %v", err)
+	}
+	patches, far := d.versions.since(since, d.Version())
+	if far {
+		batch, err := d.Store.List(ctx, versionPrefix, versionKey(since), listLimit)
+		if err != nil {
+			return nil, true, err
+		}
+		if patches, err = decodePatches(batch.Entries); err != nil {
+			return nil, true, err
+		}
+		far = len(patches) > 0 && patches[0].Version > since+1
+	}
+	return maskPatches(patches), far, nil
+}
+
+func maskPatches(patches []daisygap.Patch) []daisygap.Patch {
+	masked := slices.Clone(patches)
+	for i, p := range masked {
+		var m map[string]json.RawMessage
+		if json.Unmarshal(p.Merge, &m) != nil || m["keys"] == nil {
+			continue
+		}
+		m["keys"] = json.RawMessage(`"(hidden)"`)
+		if merge, err := json.Marshal(m); err == nil {
+			masked[i].Merge = merge
+		}
+	}
+	return masked
+}
+
+// ServeMembers lists the domain's daemons, if this one is the leaseholder.
+func (d *Daemon) ServeMembers() daisygap.MemberList {
+	if !d.IsHolder() {
+		d.members.mu.Lock()
+		defer d.members.mu.Unlock()
+		return daisygap.MemberList{Holder: d.members.leader}
+	}
+	now := d.Clock.Now()
+	var list daisygap.MemberList
+	for _, c := range d.alive() {
+		status := daisygap.MemberStatus{
+			Host: c.host.Name, Domain: d.Settings.Domain, Version: c.version, Leaving: c.host.Leaving, Age: now - c.seen,
+		}
+		if c.host.Name == d.Settings.Host {
+			status.Holder, status.Version = true, d.Version()
+		}
+		list.List = append(list.List, status)
+	}
+	return list
+}
+
+// Members asks every domain's leaseholder for its daemons.
+func (d *Daemon) Members(ctx context.Context) (list []daisygap.MemberStatus, missing []string) {
+	records := d.gossip.snapshot()
+	for name := range d.config().Domains {
+		found, ok := d.membersOf(ctx, name, records[name])
+		if !ok {
+			missing = append(missing, name)
+		}
+		list = append(list, found...)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Host < list[j].Host })
+	sort.Strings(missing)
+	return list, missing
+}
+
+func (d *Daemon) membersOf(ctx context.Context, domain string, r daisygap.Record) ([]daisygap.MemberStatus, bool) {
+	if domain == d.Settings.Domain && d.IsHolder() {
+		return d.ServeMembers().List, true
+	}
+	for _, h := range r.Hosts {
+		answer, err := d.Peers.Members(ctx, h.Peer)
+		if err == nil && answer.List == nil && answer.Holder != "" {
+			answer, err = d.Peers.Members(ctx, answer.Holder)
+		}
+		if err == nil && answer.List != nil {
+			return answer.List, true
+		}
+	}
+	return nil, false
+}
+
+// Lookup answers an operator's look-up question.
+func (d *Daemon) Lookup(address, kind string) (json.RawMessage, error) {
+	table := d.table.Load()
+	if table == nil {
+		return nil, errors.New("this daemon has no configuration yet")
+	}
+	ip, err := netip.ParseAddr(address)
+	if err != nil {
+		return nil, &daisygap.FieldError{Field: "caller", Want: "an IP address", Got: address}
+	}
+	answer := table.Lookup(ip.Unmap(), kind)
+	if answer == nil {
+		return nil, &daisygap.FieldError{Field: "kind", Want: "a kind that some entry host may serve now", Got: kind}
+	}
+	return answer.Body, nil
+}
+
+// Table returns the current look-up table, or nil before the first configuration.
+func (d *Daemon) Table() *routing.Table {
+	return d.table.Load()
+}
+
+// RefuseLookup writes a refusal of a look-up.
+func (d *Daemon) RefuseLookup(w http.ResponseWriter, reason daisygap.Reason, text string) {
+	d.refuse(w, d.refusal(&daisygap.Request{}, reason, daisygap.NotRun, daisygap.Figures{}), text)
+}
--- /dev/null
+++ b/internal/daemon/entry/plan.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"maps"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/upstream"
+	"github.com/daisygap/daisygap/internal/policy/admission"
+	"github.com/daisygap/daisygap/internal/policy/balance"
+	"github.com/daisygap/daisygap/internal/policy/configuration"
+	"github.com/daisygap/daisygap/internal/policy/quota"
+	"github.com/daisygap/daisygap/internal/policy/routing"
+)
+
+// replanMillis is the least span between two plans, so that a burst of changes costs one.
+const replanMillis = daisygap.Millis(50)
+
+// replan asks for new pools, links and look-up tables; it never blocks.
+func (d *Daemon) replan() {
+	select {
+	case d.replanned <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Daemon) runPlanner() {
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-d.replanned:
+		}
+		d.plan()
+		if !d.pause(replanMillis) {
+			return
+		}
+	}
+}
+
+// plan rebuilds everything that follows from the configuration, the view and the records.
+func (d *Daemon) plan() {
+	state := d.state.Load()
+	if state.Version == 0 {
+		return
+	}
+	lists := d.members.lists()
+	d.planPools(state, lists)
+	d.planLinks(state, lists)
+	d.budgets.set(state.Config)
+	world := &routing.World{State: state, Records: d.gossip.snapshot()}
+	d.world.Store(world)
+	d.table.Store(routing.NewTable(world))
+}
+
+func (d *Daemon) planPools(state *configuration.State, lists [][]string) {
+	c := state.Config
+	old := *d.pools.Load()
+	pools := make(map[string]*upstream.Pool, len(c.Groups))
+	for name, g := range c.Groups {
+		p := old[name]
+		if p == nil {
+			p = &upstream.Pool{
+				Group: name, Clock: d.Clock, Usable: d.usable, Suspect: d.prints.suspect(d.Clock),
+				Short: func() { d.loans.want(name) },
+			}
+		}
+		p.SetPlan(upstream.Plan{
+			Rules:   rules(c, g),
+			Targets: d.targets(c, name, lists),
+			Warm:    g.Warm,
+			Eject:   g.Eject,
+			Longest: c.LongestDeadline(),
+			Alone:   len(lists[0]) < 2,
+		})
+		pools[name] = p
+	}
+	for name, p := range old {
+		if pools[name] == nil {
+			p.SetPlan(upstream.Plan{})
+		}
+	}
+	d.pools.Store(&pools)
+}
+
+func rules(c *daisygap.Configuration, g daisygap.Group) []admission.Rule {
+	var list []admission.Rule
+	for _, name := range g.Kinds {
+		k := c.Kinds[name]
+		list = append(list, admission.Rule{Name: name, Rank: k.Rank, Floor: k.Floor, Queue: k.Queue})
+	}
+	return list
+}
+
+// targets returns the group's upstreams in this domain with the daemon's shares of their slots.
+func (d *Daemon) targets(c *daisygap.Configuration, group string, lists [][]string) []balance.Target {
+	record, _ := d.gossip.get(d.Settings.Domain)
+	drained := c.DomainDrained(d.Settings.Domain) && record.Give[group] >= 1
+	var targets []balance.Target
+	for name, u := range c.Upstreams {
+		if u.Group != group || u.Domain != d.Settings.Domain {
+			continue
+		}
+		targets = append(targets, balance.Target{
+			Name:    name,
+			Address: u.Address,
+			Slots:   u.Slots,
+			Share:   int(d.share(int64(u.Slots), name, lists)),
+			Own:     d.owns(name, lists),
+			Drained: drained || c.Drains.Upstreams[name],
+		})
+	}
+	return targets
+}
+
+// share returns the smaller of the daemon's shares under all lists.
+func (d *Daemon) share(limit int64, name string, lists [][]string) int64 {
+	least := quota.Share(limit, name, d.Settings.Host, lists[0])
+	for _, list := range lists[1:] {
+		least = min(least, quota.Share(limit, name, d.Settings.Host, list))
+	}
+	return least
+}
+
+// owns tells whether this daemon comes first for a name under all lists.
+func (d *Daemon) owns(name string, lists [][]string) bool {
+	for _, list := range lists {
+		if quota.First(name, list) != d.Settings.Host {
+			return false
+		}
+	}
+	return true
+}
+
+// planLinks divides each link that leaves the region among the region's domains, and in the domain among its daemons.
+func (d *Daemon) planLinks(state *configuration.State, lists [][]string) {
+	c := state.Config
+	domains := c.DomainsOf(d.Settings.Region)
+	shares := make(map[string]int64)
+	for name, l := range c.Links {
+		from, to := cutLink(name)
+		if from != d.Settings.Region {
+			continue
+		}
+		part := quota.Share(l.Rate, name, d.Settings.Domain, domains)
+		shares[to] = d.share(part, name, lists)
+	}
+	d.links.set(shares, d.Clock.Now())
+}
+
+// loads returns the use of this daemon's slots by group.
+func (d *Daemon) loads() map[string]daisygap.Load {
+	loads := make(map[string]daisygap.Load)
+	for name, p := range *d.pools.Load() {
+		loads[name] = p.Load()
+	}
+	return loads
+}
+
+// shrunk tells whether the use of all shares fits the view.
+func (d *Daemon) shrunk() bool {
+	for p := range maps.Values(*d.pools.Load()) {
+		if !p.Shrunk() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/daemon/entry/poison.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"sync"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/policy/poison"
+)
+
+// prints knows which fingerprints were at crashes.
+type prints struct {
+	mu       sync.Mutex
+	register poison.Register
+	blocked  []uint64
+}
+
+// maxBlocked bounds the fingerprints that a domain tells the others of.
+const maxBlocked = 32
+
+func (p *prints) suspect(clock *daisygap.Clock) func(uint64) bool {
+	return func(print uint64) bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.register.Suspect(print, clock.Now())
+	}
+}
+
+func (p *prints) isBlocked(print uint64, now daisygap.Millis) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.register.Blocked(print, now)
+}
+
+func (p *prints) clear(print uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.register.Clear(print)
+}
+
+// note takes in a crash report and tells whether the fingerprint is held back from now on.
+func (p *prints) note(c daisygap.Crash, now daisygap.Millis) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.register.Note(c, now) {
+		return false
+	}
+	p.blocked = append(p.blocked, c.Print)
+	if len(p.blocked) > maxBlocked {
+		p.blocked = p.blocked[1:]
+	}
+	return true
+}
+
+// block holds back what another domain holds back.
+func (p *prints) block(list []uint64, now daisygap.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, print := range list {
+		if !p.register.Blocked(print, now) {
+			p.register.Block(print, now)
+		}
+	}
+}
+
+// ownBlocked returns the fingerprints that this domain found to be poison and that are still held back.
+func (p *prints) ownBlocked(now daisygap.Millis) []uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []uint64
+	for _, print := range p.blocked {
+		if p.register.Blocked(print, now) {
+			list = append(list, print)
+		}
+	}
+	return list
+}
+
+// crashed handles a connection that broke while a request ran: it tells the domain.
+func (d *Daemon) crashed(c daisygap.Crash) {
+	d.noteCrash(c)
+	d.background(func() { d.spread(daisygap.Push{Crashes: []daisygap.Crash{c}}) })
+}
+
+func (d *Daemon) noteCrash(c daisygap.Crash) {
+	if d.prints.note(c, d.Clock.Now()) {
+		d.Log.With("poison").Warnf("request %016x crashed %s and another upstream, it is held back", c.Print, c.Upstream)
+		d.gossipChanged()
+	}
+}
--- /dev/null
+++ b/internal/daemon/entry/refusal.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/policy/receipt"
+	"github.com/daisygap/daisygap/internal/policy/retry"
+)
+
+// shortestRetry is the least wait that a refusal advises, in milliseconds.
+const shortestRetry = daisygap.Millis(50)
+
+var statusOf = map[daisygap.Reason]int{
+	daisygap.ReasonBadRequest:      http.StatusBadRequest,
+	daisygap.ReasonTooLarge:        http.StatusRequestEntityTooLarge,
+	daisygap.ReasonUnknownKind:     http.StatusNotFound,
+	daisygap.ReasonNotAllowed:      http.StatusForbidden,
+	daisygap.ReasonDuplicate:       http.StatusConflict,
+	daisygap.ReasonPoisoned:        http.StatusUnprocessableEntity,
+	daisygap.ReasonQueueFull:       http.StatusTooManyRequests,
+	daisygap.ReasonUpstreamFailed:  http.StatusBadGateway,
+	daisygap.ReasonUnreachable:     http.StatusBadGateway,
+	daisygap.ReasonExpired:         http.StatusGatewayTimeout,
+	daisygap.ReasonDeadline:        http.StatusServiceUnavailable,
+	daisygap.ReasonNoConfiguration: http.StatusServiceUnavailable,
+}
+
+// refusal fills in what every refusal of this daemon says.
+func (d *Daemon) refusal(r *daisygap.Request, reason daisygap.Reason, run daisygap.RunState, f daisygap.Figures) *daisygap.Refusal {
+	wait := max(f.Wait, shortestRetry)
+	return &daisygap.Refusal{
+		Reason: reason, Run: run, ID: r.ID, Kind: r.Kind, Rank: r.Rank,
+		Host: d.Settings.Host, Domain: d.Settings.Domain, Version: d.Version(),
+		Time: d.Clock.Wall(), Retry: wait, Figures: f,
+	}
+}
+
+type refusalBody struct {
+	*daisygap.Refusal
+	Text    string `json:"text,omitempty"`
+	Receipt string `json:"receipt,omitempty"`
+}
+
+// refuse counts a refusal and writes it.
+func (d *Daemon) refuse(w http.ResponseWriter, r *daisygap.Refusal, text string) {
+	d.count(r)
+	d.writeRefusal(w, r, text)
+}
+
+// count adds a refusal to the totals; only the daemon that the caller asked counts it.
+func (d *Daemon) count(r *daisygap.Refusal) {
+	d.tally.add(r)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`daisygap_refusals_total{reason=%q,kind=%q,rank=%q}`, r.Reason, r.Kind, r.Rank)).Inc()
+}
+
+// writeRefusal answers with a refusal and its receipt.
+func (d *Daemon) writeRefusal(w http.ResponseWriter, r *daisygap.Refusal, text string) {
+	status, ok := statusOf[r.Reason]
+	if !ok {
+		status = http.StatusServiceUnavailable
+	}
+	sealed := d.seal(r)
+	h := w.Header()
+	h.Set(daisygap.HeaderReason, string(r.Reason))
+	h.Set(daisygap.HeaderRun, string(r.Run))
+	h.Set(daisygap.HeaderReceipt, sealed)
+	h.Set(daisygap.HeaderID, r.ID)
+	h.Set("Retry-After", strconv.FormatInt(int64(r.Retry+999)/1000, 10))
+	h.Set("Content-Type", "application/json")
+	h.Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(refusalBody{Refusal: r, Text: text, Receipt: sealed}); err != nil {
+		d.Log.With("caller").Debugf("a refusal wasn't delivered: %v", err)
+	}
+}
+
+func (d *Daemon) seal(r *daisygap.Refusal) string {
+	c := d.config()
+	key, err := base64.StdEncoding.DecodeString(c.Keys[c.Sign])
+	if err != nil || len(key) == 0 {
+		return ""
+	}
+	return receipt.Seal(r, c.Sign, key)
+}
+
+// Explain reads a receipt with the keys in force; its error is one of the receipt package's.
+func (d *Daemon) Explain(text string) (*daisygap.Refusal, error) {
+	keys := make(map[string][]byte)
+	for name, encoded := range d.config().Keys {
+		if key, err := base64.StdEncoding.DecodeString(encoded); err == nil {
+			keys[name] = key
+		}
+	}
+	return receipt.Open(text, keys)
+}
+
+// budgets holds the retry budget of each kind.
+type budgets struct {
+	mu     sync.Mutex
+	byKind map[string]*retry.Budget
+}
+
+func (b *budgets) set(c *daisygap.Configuration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := make(map[string]*retry.Budget, len(c.Kinds))
+	for name, k := range c.Kinds {
+		next[name] = b.byKind[name]
+		if next[name] == nil {
+			next[name] = &retry.Budget{}
+		}
+		next[name].Ratio = k.Retry
+	}
+	b.byKind = next
+}
+
+func (b *budgets) fresh(kind string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if budget := b.byKind[kind]; budget != nil {
+		budget.Fresh()
+	}
+}
+
+func (b *budgets) take(kind string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.byKind[kind]
+	return budget != nil && budget.Take()
+}
--- /dev/null
+++ b/internal/daemon/entry/tally.go
@@ -0,0 +1,347 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/daisygap/daisygap"
+)
+
+const (
+	totalsPrefix = "totals/"
+	minuteMillis = daisygap.Millis(60_000)
+	// Minutes of totals that the store keeps.
+	keepMinutes = 24 * 60
+	// Minutes that a leaseholder keeps in memory to add late counts.
+	openMinutes = 3
+)
+
+type tallyKey struct {
+	Minute int64
+	Reason daisygap.Reason
+	Kind   string
+	Rank   daisygap.Rank
+}
+
+// tally counts refusals by minute; its counts per incarnation only grow, so that sending them again changes nothing.
+type tally struct {
+	mu     sync.Mutex
+	counts map[tallyKey]int64
+	saved  map[tallyKey]int64
+	// domain holds the counts of all incarnations in the domain, while this daemon is the leaseholder.
+	domain map[int64]map[string]map[tallyKey]int64
+	dirty  map[int64]bool
+}
+
+// add counts one refusal.
+func (t *tally) add(r *daisygap.Refusal) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts[tallyKey{int64(r.Time / minuteMillis), r.Reason, r.Kind, r.Rank}]++
+}
+
+// unsaved returns the counts that changed since the leaseholder last kept them.
+func (t *tally) unsaved() []daisygap.Total {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []daisygap.Total
+	for key, n := range t.counts {
+		if n != t.saved[key] {
+			list = append(list, daisygap.Total{Minute: key.Minute, Reason: key.Reason, Kind: key.Kind, Rank: key.Rank, Count: n})
+		}
+	}
+	return list
+}
+
+// kept notes what the leaseholder has, and forgets old minutes.
+func (t *tally) kept(totals []daisygap.Total) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.saved == nil {
+		t.saved = make(map[tallyKey]int64)
+	}
+	newest := int64(0)
+	for _, total := range totals {
+		t.saved[tallyKey{total.Minute, total.Reason, total.Kind, total.Rank}] = total.Count
+		newest = max(newest, total.Minute)
+	}
+	for key, n := range t.counts {
+		if key.Minute < newest-openMinutes && t.saved[key] == n {
+			delete(t.counts, key)
+			delete(t.saved, key)
+		}
+	}
+}
+
+// collect takes in one incarnation's counts.
+func (t *tally) collect(incarnation string, totals []daisygap.Total) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.domain == nil {
+		t.domain = make(map[int64]map[string]map[tallyKey]int64)
+		t.dirty = make(map[int64]bool)
+	}
+	for _, total := range totals {
+		minute := t.domain[total.Minute]
+		if minute == nil {
+			minute = make(map[string]map[tallyKey]int64)
+			t.domain[total.Minute] = minute
+		}
+		if minute[incarnation] == nil {
+			minute[incarnation] = make(map[tallyKey]int64)
+		}
+		key := tallyKey{total.Minute, total.Reason, total.Kind, total.Rank}
+		minute[incarnation][key] = max(minute[incarnation][key], total.Count)
+		t.dirty[total.Minute] = true
+	}
+}
+
+// totalsValue is one minute of one domain in the store: counts by incarnation.
+type totalsValue map[string][]daisygap.Total
+
+// takeDirty returns the minutes that changed since they were last written.
+func (t *tally) takeDirty() map[int64]totalsValue {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	values := make(map[int64]totalsValue)
+	for minute := range t.dirty {
+		values[minute] = flatten(t.domain[minute])
+	}
+	t.dirty = make(map[int64]bool)
+	return values
+}
+
+func flatten(byIncarnation map[string]map[tallyKey]int64) totalsValue {
+	value := make(totalsValue)
+	for incarnation, counts := range byIncarnation {
+		for key, n := range counts {
+			value[incarnation] = append(value[incarnation], daisygap.Total{
+				Minute: key.Minute, Reason: key.Reason, Kind: key.Kind, Rank: key.Rank, Count: n,
+			})
+		}
+	}
+	return value
+}
+
+func (t *tally) markDirty(minute int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dirty[minute] = true
+}
+
+// forget drops minutes that are no longer open.
+func (t *tally) forget(before int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for minute := range t.domain {
+		if minute < before && !t.dirty[minute] {
+			delete(t.domain, minute)
+		}
+	}
+}
+
+// runTotals writes the domain's totals to the store while this daemon is the leaseholder.
+func (d *Daemon) runTotals() {
+	for d.pause(d.jitter(d.Timing.Totals)) {
+		if !d.holdsStoreLease() {
+			continue
+		}
+		for minute, value := range d.tally.takeDirty() {
+			if err := d.writeTotals(d.ctx, minute, value); err != nil {
+				d.Log.With("totals").Debugf("minute %d wasn't stored: %v", minute, err)
+				d.tally.markDirty(minute)
+			}
+		}
+		now := int64(d.Clock.Wall() / minuteMillis)
+		d.tally.forget(now - openMinutes)
+		d.trimTotals(d.ctx, now-keepMinutes)
+	}
+}
+
+func (d *Daemon) totalsKey(minute int64) string {
+	return fmt.Sprintf("%s%s/%012d", totalsPrefix, d.Settings.Domain, minute)
+}
+
+// writeTotals merges one minute into the store; counts only grow, so a repeated write changes nothing.
+func (d *Daemon) writeTotals(ctx context.Context, minute int64, value totalsValue) error {
+	key := d.totalsKey(minute)
+	entry, err := d.Store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	if entry.Revision > 0 {
+		var stored totalsValue
+		if err := json.Unmarshal(entry.Value, &stored); err == nil {
+			for incarnation, totals := range stored {
+				if _, ok := value[incarnation]; !ok {
+					value[incarnation] = totals
+				}
+			}
+		}
+	}
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	_, err = d.Store.Swap(ctx, key, data, entry.Revision, "")
+	return err
+}
+
+// trimTotals deletes one old minute at a time.
+func (d *Daemon) trimTotals(ctx context.Context, before int64) {
+	batch, err := d.Store.List(ctx, totalsPrefix+d.Settings.Domain+"/", "", 1)
+	if err != nil || len(batch.Entries) == 0 || batch.Entries[0].Key >= d.totalsKey(before) {
+		return
+	}
+	old := batch.Entries[0]
+	if _, err := d.Store.Swap(ctx, old.Key, nil, old.Revision, ""); err != nil && !errors.Is(err, daisygap.ErrConflict) {
+		d.Log.With("totals").Debugf("old totals weren't deleted: %v", err)
+	}
+}
+
+// ServeTotals returns the open minutes: a leaseholder's for its domain, another daemon's for itself.
+func (d *Daemon) ServeTotals() []daisygap.Total {
+	holder := d.IsHolder()
+	if holder {
+		d.tally.collect(d.incarnation, d.tally.unsaved())
+	}
+	d.tally.mu.Lock()
+	defer d.tally.mu.Unlock()
+	if !holder {
+		return d.sorted(d.tally.counts)
+	}
+	sums := make(map[tallyKey]int64)
+	for _, byIncarnation := range d.tally.domain {
+		for _, counts := range byIncarnation {
+			for key, n := range counts {
+				sums[key] += n
+			}
+		}
+	}
+	return d.sorted(sums)
+}
+
+func (d *Daemon) sorted(sums map[tallyKey]int64) []daisygap.Total {
+	var list []daisygap.Total
+	for key, n := range sums {
+		list = append(list, daisygap.Total{
+			Minute: key.Minute, Reason: key.Reason, Kind: key.Kind, Rank: key.Rank, Domain: d.Settings.Domain, Count: n,
+		})
+	}
+	SortTotals(list)
+	return list
+}
+
+// SortTotals orders totals by minute, domain, kind and reason.
+func SortTotals(list []daisygap.Total) {
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i], list[j]
+		if a.Minute != b.Minute {
+			return a.Minute < b.Minute
+		}
+		if a.Domain != b.Domain {
+			return a.Domain < b.Domain
+		}
+		if a.Kind != b.Kind {
+			return a.Kind < b.Kind
+		}
+		return a.Reason < b.Reason
+	})
+}
+
+// Totals sums the refusals of all domains: open minutes from the leaseholders, the rest from the store. It names what it could not reach.
+func (d *Daemon) Totals(ctx context.Context) (list []daisygap.Total, missing []string) {
+	stored, err := d.storedTotals(ctx)
+	if err != nil {
+		missing = append(missing, "the store")
+	}
+	best := make(map[daisygap.Total]int64)
+	keep := func(t daisygap.Total) {
+		n := t.Count
+		t.Count = 0
+		best[t] = max(best[t], n)
+	}
+	for _, t := range stored {
+		keep(t)
+	}
+	for name, r := range d.gossip.snapshot() {
+		live, ok := d.liveTotals(ctx, r)
+		if !ok {
+			missing = append(missing, "domain "+name)
+		}
+		for _, t := range live {
+			keep(t)
+		}
+	}
+	for t, n := range best {
+		t.Count = n
+		list = append(list, t)
+	}
+	SortTotals(list)
+	sort.Strings(missing)
+	return list, missing
+}
+
+// liveTotals asks the daemons of a domain; the leaseholder's answer holds all counts, so the largest is taken.
+func (d *Daemon) liveTotals(ctx context.Context, r daisygap.Record) ([]daisygap.Total, bool) {
+	if r.Domain == d.Settings.Domain && d.IsHolder() {
+		return d.ServeTotals(), true
+	}
+	reached := false
+	var all []daisygap.Total
+	for _, h := range r.Hosts {
+		totals, err := d.Peers.Totals(ctx, h.Peer)
+		if err != nil {
+			continue
+		}
+		reached = true
+		all = append(all, totals...)
+	}
+	return all, reached
+}
+
+func (d *Daemon) storedTotals(ctx context.Context) ([]daisygap.Total, error) {
+	var list []daisygap.Total
+	after := ""
+	for {
+		batch, err := d.Store.List(ctx, totalsPrefix, after, listLimit)
+		if err != nil {
+			return list, err
+		}
+		for _, e := range batch.Entries {
+			list = append(list, sumStored(e)...)
+			after = e.Key
+		}
+		if len(batch.Entries) < listLimit {
+			return list, nil
+		}
+	}
+}
+
+// sumStored adds up one stored minute over its incarnations.
+func sumStored(e daisygap.Entry) []daisygap.Total {
+	var value totalsValue
+	if json.Unmarshal(e.Value, &value) != nil {
+		return nil
+	}
+	domain, _, _ := strings.Cut(strings.TrimPrefix(e.Key, totalsPrefix), "/")
+	sums := make(map[daisygap.Total]int64)
+	for _, totals := range value {
+		for _, t := range totals {
+			n := t.Count
+			t.Count, t.Domain = 0, domain
+			sums[t] += n
+		}
+	}
+	var list []daisygap.Total
+	for t, n := range sums {
+		t.Count = n
+		list = append(list, t)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/policy/admission/queue.go
@@ -0,0 +1,359 @@
+package admission
+
+import (
+	"container/heap"
+	"sort"
+
+	"github.com/daisygap/daisygap"
+)
+
+// Weight of one new measurement in the service-time estimate.
+const serviceWeight = 0.1
+
+// Credit that a waiting kind may hold, as a multiple of its own service time.
+const maxCredit = 4
+
+// Rule is what the configuration says of one kind of work in a group.
+type Rule struct {
+	Name  string
+	Rank  daisygap.Rank
+	Floor float64
+	Queue int
+}
+
+// Item is one request that waits for a slot.
+type Item struct {
+	Request *daisygap.Request
+	Arrived daisygap.Millis
+	kind    *kind
+	tag     uint64
+	index   int
+}
+
+// Denial says why a request may not wait, with the figures behind it.
+type Denial struct {
+	Reason  daisygap.Reason
+	Figures daisygap.Figures
+}
+
+// Offered is the answer to one offered request; Evicted had to make room for it.
+type Offered struct {
+	Item    *Item
+	Denial  *Denial
+	Evicted *Item
+}
+
+// Popped is the answer to a free slot; Late may not start any more.
+type Popped struct {
+	Item *Item
+	Late []*Item
+}
+
+// kind holds the requests of one kind, ordered by fair-queueing tag and then by deadline.
+type kind struct {
+	rule    Rule
+	items   itemHeap
+	callers map[string]*caller
+	virtual uint64
+	running int
+	service float64
+	credit  float64
+}
+
+type caller struct {
+	queued int
+	last   uint64
+}
+
+// Queue holds the waiting requests of one group of upstreams; it is not safe for concurrent use.
+type Queue struct {
+	kinds  []*kind
+	byName map[string]*kind
+	limit  int
+}
+
+// SetRules replaces the rules; requests of a kind that is no longer listed are returned to be refused.
+func (q *Queue) SetRules(rules []Rule) []*Item {
+	old := q.byName
+	q.kinds = nil
+	q.byName = make(map[string]*kind, len(rules))
+	for _, r := range rules {
+		k := old[r.Name]
+		if k == nil {
+			k = &kind{callers: make(map[string]*caller)}
+		}
+		k.rule = r
+		q.byName[r.Name] = k
+		q.kinds = append(q.kinds, k)
+	}
+	sort.SliceStable(q.kinds, func(i, j int) bool {
+		return q.kinds[i].rule.Rank < q.kinds[j].rule.Rank
+	})
+	var orphans []*Item
+	for name, k := range old {
+		if q.byName[name] == nil {
+			orphans = append(orphans, k.items...)
+		}
+	}
+	return orphans
+}
+
+// SetLimit sets the number of slots that the group may use now.
+func (q *Queue) SetLimit(limit int) {
+	q.limit = limit
+}
+
+// Offer puts a request into its queue unless it can't be served in time or finds no room.
+func (q *Queue) Offer(r *daisygap.Request, now daisygap.Millis) Offered {
+	k := q.byName[r.Kind]
+	if k == nil {
+		return Offered{Denial: &Denial{Reason: daisygap.ReasonUnknownKind}}
+	}
+	figures := q.figures(k, r, now)
+	if now >= r.Deadline {
+		return Offered{Denial: &Denial{Reason: daisygap.ReasonExpired, Figures: figures}}
+	}
+	if float64(figures.Wait)+k.service > float64(figures.Left) {
+		return Offered{Denial: &Denial{Reason: daisygap.ReasonDeadline, Figures: figures}}
+	}
+	var evicted *Item
+	if len(k.items) >= k.rule.Queue {
+		evicted = k.evictFor(r.Caller)
+		if evicted == nil {
+			return Offered{Denial: &Denial{Reason: daisygap.ReasonQueueFull, Figures: figures}}
+		}
+	}
+	return Offered{Item: k.push(r, now), Evicted: evicted}
+}
+
+// Pop chooses the request that takes a free slot and charges its kind for it.
+func (q *Queue) Pop(now daisygap.Millis) Popped {
+	var p Popped
+	for {
+		k := q.choose()
+		if k == nil {
+			return p
+		}
+		it := k.pop()
+		if float64(now)+k.service > float64(it.Request.Deadline) {
+			p.Late = append(p.Late, it)
+			continue
+		}
+		q.charge(k)
+		k.running++
+		p.Item = it
+		return p
+	}
+}
+
+// Start counts a request that starts at once because a slot is free and nothing waits.
+func (q *Queue) Start(name string) {
+	if k := q.byName[name]; k != nil {
+		k.running++
+	}
+}
+
+// Finish gives a slot back; a service time below 0 is not counted in the estimate.
+func (q *Queue) Finish(name string, service daisygap.Millis) {
+	k := q.byName[name]
+	if k == nil {
+		return
+	}
+	k.running--
+	if service < 0 {
+		return
+	}
+	if k.service == 0 {
+		k.service = float64(service)
+		return
+	}
+	k.service += serviceWeight * (float64(service) - k.service)
+}
+
+// Remove takes a cancelled request out of its queue.
+func (q *Queue) Remove(it *Item) {
+	if it.index >= 0 {
+		it.kind.remove(it)
+	}
+}
+
+// Waiting returns the number of waiting requests of all kinds.
+func (q *Queue) Waiting() int {
+	n := 0
+	for _, k := range q.kinds {
+		n += len(k.items)
+	}
+	return n
+}
+
+// Running returns the number of started requests of all kinds.
+func (q *Queue) Running() int {
+	n := 0
+	for _, k := range q.kinds {
+		n += k.running
+	}
+	return n
+}
+
+// Figures returns the measures that a decision on a request would be based on.
+func (q *Queue) Figures(r *daisygap.Request, now daisygap.Millis) daisygap.Figures {
+	k := q.byName[r.Kind]
+	if k == nil {
+		return daisygap.Figures{Left: r.Deadline - now}
+	}
+	return q.figures(k, r, now)
+}
+
+// choose returns the kind to serve: the most urgent one owed work under its floor, else the most urgent that waits.
+func (q *Queue) choose() *kind {
+	var first *kind
+	for _, k := range q.kinds {
+		if len(k.items) == 0 {
+			continue
+		}
+		if first == nil {
+			first = k
+		}
+		if k.rule.Floor > 0 && k.credit >= max(k.service, 1) {
+			return k
+		}
+	}
+	return first
+}
+
+// charge moves credit in slot-milliseconds: each waiting kind earns its floor's part of the work that starts, and the started kind pays for it.
+func (q *Queue) charge(started *kind) {
+	cost := max(started.service, 1)
+	for _, k := range q.kinds {
+		if len(k.items) == 0 && k != started {
+			k.credit = 0
+			continue
+		}
+		k.credit = min(k.credit+k.rule.Floor*cost, maxCredit*max(k.service, 1))
+	}
+	started.credit = max(started.credit-cost, 0)
+}
+
+func (q *Queue) figures(k *kind, r *daisygap.Request, now daisygap.Millis) daisygap.Figures {
+	running, ahead, busier := 0, 0, 0
+	for _, o := range q.kinds {
+		running += o.running
+		if o != k && o.rule.Rank < k.rule.Rank {
+			ahead += len(o.items)
+			busier += o.running
+		}
+	}
+	own := k.ahead(r.Caller)
+	slots := max(float64(q.limit-busier), k.rule.Floor*float64(q.limit), 1)
+	wait := 0.0
+	if running >= q.limit || own > 0 {
+		wait = (min(float64(ahead), slots) + float64(own) + 1) / slots * k.service
+	}
+	return daisygap.Figures{
+		Queued:  len(k.items),
+		Running: running,
+		Limit:   q.limit,
+		Wait:    daisygap.Millis(wait),
+		Left:    r.Deadline - now,
+	}
+}
+
+// ahead estimates how many requests of the kind start before the next one of a caller.
+func (k *kind) ahead(name string) int {
+	mine := 0
+	if c := k.callers[name]; c != nil {
+		mine = c.queued
+	}
+	return min(len(k.items), (mine+1)*len(k.callers))
+}
+
+func (k *kind) push(r *daisygap.Request, now daisygap.Millis) *Item {
+	c := k.callers[r.Caller]
+	if c == nil {
+		c = &caller{last: k.virtual}
+		k.callers[r.Caller] = c
+	}
+	c.queued++
+	c.last = max(c.last, k.virtual) + 1
+	it := &Item{Request: r, Arrived: now, kind: k, tag: c.last}
+	heap.Push(&k.items, it)
+	return it
+}
+
+func (k *kind) pop() *Item {
+	it := heap.Pop(&k.items).(*Item)
+	k.virtual = max(k.virtual, it.tag-1)
+	k.forget(it)
+	return it
+}
+
+func (k *kind) remove(it *Item) {
+	heap.Remove(&k.items, it.index)
+	k.forget(it)
+}
+
+func (k *kind) forget(it *Item) {
+	c := k.callers[it.Request.Caller]
+	c.queued--
+	if c.queued == 0 {
+		delete(k.callers, it.Request.Caller)
+	}
+}
+
+// evictFor frees a place taken by the caller with the most waiting requests, if that is clearly more than the new caller has.
+func (k *kind) evictFor(name string) *Item {
+	mine := 0
+	if c := k.callers[name]; c != nil {
+		mine = c.queued
+	}
+	busiest, most := "", mine+1
+	for n, c := range k.callers {
+		if c.queued > most || (c.queued == most && busiest != "" && n < busiest) {
+			busiest, most = n, c.queued
+		}
+	}
+	if busiest == "" {
+		return nil
+	}
+	var last *Item
+	for _, it := range k.items {
+		if it.Request.Caller == busiest && (last == nil || it.tag > last.tag) {
+			last = it
+		}
+	}
+	k.remove(last)
+	return last
+}
+
+type itemHeap []*Item
+
+func (h itemHeap) Len() int { return len(h) }
+
+func (h itemHeap) Less(i, j int) bool {
+	if h[i].tag != h[j].tag {
+		return h[i].tag < h[j].tag
+	}
+	return h[i].Request.Deadline < h[j].Request.Deadline
+}
+
+func (h itemHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *itemHeap) Push(x any) {
+	it := x.(*Item)
+	it.index = len(*h)
+	*h = append(*h, it)
+}
+
+// Pop implements heap.Interface.
+func (h *itemHeap) Pop() any {
+	last := len(*h) - 1
+	it := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	it.index = -1
+	return it
+}
--- /dev/null
+++ b/internal/policy/balance/balancer.go
@@ -0,0 +1,221 @@
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+
+	"github.com/daisygap/daisygap"
+)
+
+const (
+	latencyWeight  = 0.2
+	failureLimit   = 3
+	ejectFirst     = daisygap.Millis(2_000)
+	ejectLongest   = daisygap.Millis(60_000)
+	coldSlotsRatio = 0.25
+	drainForget    = daisygap.Millis(10_000)
+)
+
+// Outcome is how one attempt at an upstream ended.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	Succeeded Outcome = iota
+	Shed
+	Broken
+	Abandoned
+)
+
+// Upstream is one server as a daemon sees it.
+type Upstream struct {
+	Name     string
+	Address  string
+	Slots    int
+	Share    int
+	Lent     int
+	Borrowed int
+	Running  int
+	Suspects int
+	// Own tells that this daemon alone may run suspects there.
+	Own bool
+
+	latency   float64
+	failures  int
+	ejections int
+	ejected   daisygap.Millis
+	warmFrom  daisygap.Millis
+	drained   bool
+	signalled daisygap.Millis
+	removed   bool
+}
+
+// Balancer chooses among the upstreams of one group; it is not safe for concurrent use.
+type Balancer struct {
+	Warm   daisygap.Millis
+	Eject  float64
+	Random *rand.Rand
+
+	list   []*Upstream
+	byName map[string]*Upstream
+}
+
+// Target is an upstream as the configuration and the shares name it.
+type Target struct {
+	Name    string
+	Address string
+	Slots   int
+	Share   int
+	Own     bool
+	Drained bool
+}
+
+// SetTargets replaces the upstreams; one with the same name and address keeps what was seen of it.
+func (b *Balancer) SetTargets(targets []Target, now daisygap.Millis) {
+	old := b.byName
+	first := old == nil
+	b.list = nil
+	b.byName = make(map[string]*Upstream, len(targets))
+	for _, t := range targets {
+		u := old[t.Name]
+		if u == nil || u.Address != t.Address {
+			u = &Upstream{Name: t.Name, Address: t.Address, warmFrom: now}
+			if first {
+				u.warmFrom = now - b.Warm
+			}
+		}
+		u.Slots, u.Share, u.Own = t.Slots, t.Share, t.Own
+		if u.drained && !t.Drained {
+			u.warmFrom = now
+		}
+		u.drained = t.Drained
+		b.byName[t.Name] = u
+		b.list = append(b.list, u)
+	}
+	for name, u := range old {
+		if b.byName[name] != u {
+			u.removed = true
+		}
+	}
+	sort.Slice(b.list, func(i, j int) bool { return b.list[i].Name < b.list[j].Name })
+}
+
+// Find returns an upstream by name, or nil.
+func (b *Balancer) Find(name string) *Upstream {
+	return b.byName[name]
+}
+
+// All returns the upstreams in the order of their names.
+func (b *Balancer) All() []*Upstream {
+	return b.list
+}
+
+// Limit returns how many requests may run at an upstream from here now.
+func (b *Balancer) Limit(u *Upstream, now daisygap.Millis) int {
+	held := u.Share - u.Lent + u.Borrowed
+	if held <= 0 || u.removed || u.drained || now < u.ejected {
+		return 0
+	}
+	if u.signalled > 0 && now < u.signalled+drainForget {
+		return 0
+	}
+	if u.ejections > 0 && u.failures > 0 {
+		return 1
+	}
+	age := now - u.warmFrom
+	if age >= b.Warm {
+		return held
+	}
+	part := coldSlotsRatio + (1-coldSlotsRatio)*float64(age)/float64(b.Warm)
+	return max(1, int(part*float64(held)))
+}
+
+// Capacity returns how many requests may run at all upstreams from here now.
+func (b *Balancer) Capacity(now daisygap.Millis) int {
+	n := 0
+	for _, u := range b.list {
+		n += b.Limit(u, now)
+	}
+	return n
+}
+
+// Pick takes a slot at the upstream expected to finish soonest, or returns nil when none is free; a suspect never shares an upstream with another, not even with one of another daemon.
+func (b *Balancer) Pick(suspect bool, now daisygap.Millis) *Upstream {
+	var best *Upstream
+	bestCost := math.Inf(1)
+	ties := 0
+	for _, u := range b.list {
+		if u.Running >= b.Limit(u, now) {
+			continue
+		}
+		if suspect && (u.Suspects > 0 || !u.Own) {
+			continue
+		}
+		cost := float64(u.Running+1) / float64(u.Slots) * max(u.latency, 1)
+		switch {
+		case cost < bestCost:
+			best, bestCost, ties = u, cost, 1
+		case cost == bestCost:
+			ties++
+			if b.Random.IntN(ties) == 0 {
+				best = u
+			}
+		}
+	}
+	if best != nil {
+		best.Running++
+		if suspect {
+			best.Suspects++
+		}
+	}
+	return best
+}
+
+// Done gives a slot back and learns from how the attempt ended.
+func (b *Balancer) Done(u *Upstream, suspect bool, outcome Outcome, latency, now daisygap.Millis) {
+	u.Running--
+	if suspect {
+		u.Suspects--
+	}
+	switch outcome {
+	case Succeeded:
+		u.failures, u.ejections = 0, 0
+		if u.latency == 0 {
+			u.latency = float64(latency)
+		}
+		u.latency += latencyWeight * (float64(latency) - u.latency)
+	case Shed, Broken:
+		u.failures++
+		if outcome == Broken || u.failures >= failureLimit {
+			b.eject(u, now)
+		}
+	case Abandoned:
+	}
+}
+
+// SignalDrain notes that an upstream said it is leaving, so that it gets nothing new.
+func (b *Balancer) SignalDrain(u *Upstream, now daisygap.Millis) {
+	u.signalled = max(now, 1)
+}
+
+// Drained tells whether an upstream gets nothing new because it is leaving.
+func (b *Balancer) Drained(u *Upstream, now daisygap.Millis) bool {
+	return u.drained || (u.signalled > 0 && now < u.signalled+drainForget)
+}
+
+// eject takes an upstream out for a while, unless too large a part of the group is out already.
+func (b *Balancer) eject(u *Upstream, now daisygap.Millis) {
+	out := 0
+	for _, o := range b.list {
+		if o != u && now < o.ejected {
+			out++
+		}
+	}
+	if float64(out+1) > b.Eject*float64(len(b.list)) {
+		return
+	}
+	u.ejected = now + min(ejectFirst<<min(u.ejections, 8), ejectLongest)
+	u.ejections++
+	u.warmFrom = u.ejected
+}
--- /dev/null
+++ b/internal/policy/configuration/snapshot.go
@@ -0,0 +1,73 @@
+package configuration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"github.com/gaissmai/bart"
+
+	"github.com/daisygap/daisygap"
+)
+
+// maxPart keeps a part of a snapshot well under the largest value of the store.
+const maxPart = 700_000
+
+// SnapshotEvery is the number of versions between two snapshots in the store.
+const SnapshotEvery = 256
+
+// Encode writes a version as parts: first the document, then the client blocks, one to a line.
+func Encode(s *State) [][]byte {
+	parts := [][]byte{s.Document}
+	var b bytes.Buffer
+	for prefix, site := range s.Blocks.AllSorted() {
+		fmt.Fprintf(&b, "%s %s\n", prefix, s.Sites[site])
+		if b.Len() > maxPart {
+			parts = append(parts, bytes.Clone(b.Bytes()))
+			b.Reset()
+		}
+	}
+	if b.Len() > 0 {
+		parts = append(parts, bytes.Clone(b.Bytes()))
+	}
+	return parts
+}
+
+// Decode reads the parts of a snapshot and checks them like a patch.
+func Decode(version uint64, parts [][]byte) (*State, error) {
+	if len(parts) == 0 {
+		return nil, fmt.Errorf("snapshot %d has no parts", version)
+	}
+	s := Empty()
+	var document map[string]json.RawMessage
+	if err := json.Unmarshal(parts[0], &document); err != nil {
+		return nil, fmt.Errorf("snapshot %d: %w", version, err)
+	}
+	if err := s.merge(document); err != nil {
+		return nil, err
+	}
+	s.Blocks = new(bart.Table[uint32])
+	for _, part := range parts[1:] {
+		if err := s.decodeBlocks(part); err != nil {
+			return nil, err
+		}
+	}
+	s.Version = version
+	s.Config.Version = version
+	return s, nil
+}
+
+func (s *State) decodeBlocks(part []byte) error {
+	for line := range strings.Lines(string(part)) {
+		text, site, _ := strings.Cut(strings.TrimSuffix(line, "\n"), " ")
+		prefix, err := netip.ParsePrefix(text)
+		index, ok := s.siteIndex[site]
+		if err != nil || !ok {
+			return &daisygap.FieldError{Field: "blocks", Want: "a prefix and a site", Got: line}
+		}
+		s.Blocks.Insert(prefix, index)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/policy/membership/holder.go
@@ -0,0 +1,218 @@
+package membership
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/daisygap/daisygap"
+)
+
+// Heartbeat is a member's heartbeat as the decisions need it.
+type Heartbeat struct {
+	Host        string
+	Incarnation string
+	Ack         uint64
+	Leaving     bool
+	// Held tells that the daemon holds a lease from an earlier heartbeat, maybe of a former leaseholder.
+	Held bool
+}
+
+// Lease is the answer to a heartbeat; a span of 0 gives no lease.
+type Lease struct {
+	Span daisygap.Millis
+	View daisygap.View
+}
+
+type member struct {
+	incarnation string
+	granted     daisygap.Millis // end of the last lease, on the leaseholder's clock
+	ack         uint64
+	left        bool
+	seen        daisygap.Millis
+}
+
+// Holder is the leaseholder's side of a domain's membership; it is not safe for concurrent use.
+type Holder struct {
+	Self   string
+	Timing Timing
+
+	view       daisygap.View
+	members    map[string]*member
+	storeUntil daisygap.Millis
+	tookOver   daisygap.Millis
+	quorumAt   daisygap.Millis
+}
+
+// TakeOver starts a term of office with the view found in the store, which now carries the new epoch.
+func (h *Holder) TakeOver(view daisygap.View, now, storeUntil daisygap.Millis) {
+	h.view = view
+	h.tookOver = now
+	h.storeUntil = storeUntil
+	h.quorumAt = -1
+	h.members = make(map[string]*member)
+	for _, host := range view.Members {
+		// What the former leaseholder granted is unknown; the longest possible is assumed.
+		h.members[host] = &member{granted: now + h.Timing.Lease}
+	}
+}
+
+// Renewed notes that the store extended the domain's lease, counted from when that was asked.
+func (h *Holder) Renewed(until daisygap.Millis) {
+	h.storeUntil = max(h.storeUntil, until)
+}
+
+// InOffice tells whether leases may be granted: under the lease in the store, or without it while more than half of the view is bound here.
+func (h *Holder) InOffice(now daisygap.Millis) bool {
+	if h.members == nil {
+		return false
+	}
+	return now < h.storeUntil || h.bound(now) > len(h.view.Members)/2
+}
+
+// StoreValid tells whether the domain's lease in the store stands.
+func (h *Holder) StoreValid(now daisygap.Millis) bool {
+	return h.members != nil && now < h.storeUntil
+}
+
+// Beat takes in a heartbeat and answers it.
+func (h *Holder) Beat(b Heartbeat, now daisygap.Millis) Lease {
+	if !h.InOffice(now) {
+		return Lease{View: h.view}
+	}
+	m := h.members[b.Host]
+	if m == nil {
+		m = &member{incarnation: b.Incarnation}
+		h.members[b.Host] = m
+	}
+	if b.Leaving {
+		if m.incarnation == b.Incarnation || m.incarnation == "" {
+			m.left = true
+			m.granted = now
+		}
+		return Lease{View: h.view}
+	}
+	m.seen = now
+	if !h.admit(m, b, now) {
+		return Lease{View: h.view}
+	}
+	m.ack = max(m.ack, b.Ack)
+	m.granted = now + h.Timing.Lease
+	return Lease{Span: h.Timing.Lease, View: h.view}
+}
+
+// admit accepts a new incarnation of a host only when the old one can no longer use its shares.
+func (h *Holder) admit(m *member, b Heartbeat, now daisygap.Millis) bool {
+	if m.incarnation == "" && b.Held {
+		m.incarnation = b.Incarnation
+	}
+	if m.incarnation == b.Incarnation {
+		m.left = false
+		return true
+	}
+	if !m.left && now < m.granted+h.Timing.Longest {
+		return false
+	}
+	m.incarnation = b.Incarnation
+	m.ack = 0
+	m.left = false
+	return true
+}
+
+// Plan returns the view to be written to the store next, if the membership has to change.
+func (h *Holder) Plan(now daisygap.Millis) (daisygap.View, bool) {
+	if !h.StoreValid(now) {
+		return daisygap.View{}, false
+	}
+	if h.view.Next != nil {
+		return h.planActivation(now)
+	}
+	want := h.wanted(now)
+	if slices.Equal(want, h.view.Members) {
+		return daisygap.View{}, false
+	}
+	return daisygap.View{Epoch: h.view.Epoch, Seq: h.view.Seq + 1, Members: h.view.Members, Next: want}, true
+}
+
+// Committed notes that the store holds a view now.
+func (h *Holder) Committed(view daisygap.View) {
+	h.view = view
+	h.quorumAt = -1
+	for host, m := range h.members {
+		if m.left && !slices.Contains(view.Members, host) {
+			delete(h.members, host)
+		}
+	}
+}
+
+// View returns the view in force.
+func (h *Holder) View() daisygap.View {
+	return h.view
+}
+
+// Alive returns the hosts that hold a lease now.
+func (h *Holder) Alive(now daisygap.Millis) []string {
+	var alive []string
+	for host, m := range h.members {
+		if !m.left && m.seen > 0 && now < m.granted {
+			alive = append(alive, host)
+		}
+	}
+	sort.Strings(alive)
+	return alive
+}
+
+// wanted returns the hosts that should hold shares: those with a lease, and those whose lease may still stand.
+func (h *Holder) wanted(now daisygap.Millis) []string {
+	var want []string
+	for host, m := range h.members {
+		if !m.left && now < m.granted {
+			want = append(want, host)
+		}
+	}
+	sort.Strings(want)
+	return want
+}
+
+// planActivation ends a change once every holder of old shares has shrunk, has left, or has surely lapsed.
+func (h *Holder) planActivation(now daisygap.Millis) (daisygap.View, bool) {
+	acked := 0
+	for _, host := range h.view.Members {
+		m := h.members[host]
+		if m != nil && (m.left || m.ack >= h.view.Seq) {
+			acked++
+		}
+	}
+	if h.quorumAt < 0 && acked >= (len(h.view.Members)+1)/2 {
+		h.quorumAt = now
+	}
+	if h.quorumAt < 0 {
+		return daisygap.View{}, false
+	}
+	for _, host := range h.view.Members {
+		if !h.safe(h.members[host], now) {
+			return daisygap.View{}, false
+		}
+	}
+	return daisygap.View{Epoch: h.view.Epoch, Seq: h.view.Seq + 1, Members: h.view.Next}, true
+}
+
+// safe tells whether a member of the old view can no longer use more than its smaller share.
+func (h *Holder) safe(m *member, now daisygap.Millis) bool {
+	if m == nil || m.left || m.ack >= h.view.Seq {
+		return true
+	}
+	lapsed := max(m.granted, h.quorumAt+h.Timing.Lease, h.tookOver+h.Timing.Lease)
+	return now >= lapsed+h.Timing.Longest
+}
+
+// bound counts the members of the view that hold a lease from this daemon.
+func (h *Holder) bound(now daisygap.Millis) int {
+	n := 0
+	for _, host := range h.view.Members {
+		m := h.members[host]
+		if m != nil && !m.left && m.seen > 0 && now < m.granted {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/policy/membership/member.go
@@ -0,0 +1,74 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/daisygap/daisygap"
+)
+
+// Member is a daemon's own side of its lease, on its own clock; it is not safe for concurrent use.
+type Member struct {
+	Host string
+
+	view    daisygap.View
+	until   daisygap.Millis
+	granter uint64
+	// promise is the time until which a former leaseholder may still count this member as bound to it.
+	promise daisygap.Millis
+	binding daisygap.Millis
+}
+
+// Granted takes in a leaseholder's answer to a heartbeat that was sent at a time and answered by now; it reports whether the lease was accepted.
+func (m *Member) Granted(g Lease, sent, now daisygap.Millis) bool {
+	if g.View.Epoch < m.view.Epoch {
+		return false
+	}
+	if g.View.Epoch > m.granter {
+		m.promise = m.binding
+		m.granter = g.View.Epoch
+	}
+	if newer(g.View, m.view) {
+		m.view = g.View
+	}
+	if g.Span <= 0 {
+		return false
+	}
+	m.until = max(m.until, sent+g.Span)
+	m.binding = max(m.binding, now+g.Span)
+	return true
+}
+
+// Valid tells whether the lease stands, so that new work may use the shares.
+func (m *Member) Valid(now daisygap.Millis) bool {
+	return now < m.until && slices.Contains(m.view.Members, m.Host)
+}
+
+// Until returns the end of the lease.
+func (m *Member) Until() daisygap.Millis {
+	return m.until
+}
+
+// View returns the last view heard of.
+func (m *Member) View() daisygap.View {
+	return m.view
+}
+
+// Lists returns the member lists under which the smaller share counts.
+func (m *Member) Lists() [][]string {
+	if m.view.Next == nil {
+		return [][]string{m.view.Members}
+	}
+	return [][]string{m.view.Members, m.view.Next}
+}
+
+// Ack returns the sequence number up to which this member follows the views; shrunk tells that its use fits the smaller shares.
+func (m *Member) Ack(shrunk bool, now daisygap.Millis) uint64 {
+	if m.view.Next == nil {
+		return m.view.Seq
+	}
+	leaving := slices.Contains(m.view.Members, m.Host)
+	if leaving && (!shrunk || now < m.promise) {
+		return m.view.Seq - 1
+	}
+	return m.view.Seq
+}
--- /dev/null
+++ b/internal/policy/pacing/doc.go
@@ -0,0 +1,2 @@
+// Package pacing decides when bytes may be put on a capped link, urgent work first.
+package pacing
--- /dev/null
+++ b/internal/policy/pacing/link.go
@@ -0,0 +1,124 @@
+package pacing
+
+import "github.com/daisygap/daisygap"
+
+// The parts of a window's bytes that the rate, the burst and one chunk of overshoot take; they sum to 1, so that any window keeps the cap.
+const (
+	windowMillis = 100
+	rateParts    = 0.957
+	burstParts   = 0.033
+	chunkParts   = 1 - rateParts - burstParts
+)
+
+const (
+	minChunk = 256
+	maxChunk = 16 << 10
+)
+
+// Ticket is one write that waits for its turn.
+type Ticket struct {
+	Rank  daisygap.Rank
+	Bytes int64
+	Ready func()
+	done  bool
+}
+
+// Link is this daemon's share of one direction between two regions; it is not safe for concurrent use.
+type Link struct {
+	rate    float64 // bytes a millisecond
+	burst   float64
+	chunk   int64
+	tokens  float64
+	last    daisygap.Millis
+	waiting [daisygap.RankCount][]*Ticket
+	queued  int64
+}
+
+// SetShare sets the share in bytes a second.
+func (l *Link) SetShare(share int64, now daisygap.Millis) {
+	l.refill(now)
+	window := float64(share) * windowMillis / 1000
+	l.rate = rateParts * window / windowMillis
+	l.burst = burstParts * window
+	l.chunk = min(max(int64(chunkParts*window), minChunk), maxChunk)
+	l.tokens = min(l.tokens, l.burst)
+}
+
+// Chunk returns the largest number of bytes to write with one ticket.
+func (l *Link) Chunk() int64 {
+	return max(l.chunk, minChunk)
+}
+
+// Offer asks to write some bytes; it returns true when they may be written at once, else the ticket's Ready is called later.
+func (l *Link) Offer(t *Ticket, now daisygap.Millis) bool {
+	l.refill(now)
+	if l.queued == 0 && l.tokens > 0 {
+		l.tokens -= float64(t.Bytes)
+		t.done = true
+		return true
+	}
+	l.waiting[t.Rank] = append(l.waiting[t.Rank], t)
+	l.queued += t.Bytes
+	return false
+}
+
+// Cancel withdraws a ticket that waits.
+func (l *Link) Cancel(t *Ticket) {
+	if t.done {
+		return
+	}
+	t.done = true
+	l.queued -= t.Bytes
+	list := l.waiting[t.Rank]
+	for i, o := range list {
+		if o == t {
+			l.waiting[t.Rank] = append(list[:i], list[i+1:]...)
+			return
+		}
+	}
+}
+
+// Release calls Ready for the tickets whose turn has come and returns the wait until the next, or 0 when none waits.
+func (l *Link) Release(now daisygap.Millis) daisygap.Millis {
+	l.refill(now)
+	for r := range l.waiting {
+		for len(l.waiting[r]) > 0 {
+			if l.tokens <= 0 {
+				return l.nextWait()
+			}
+			t := l.waiting[r][0]
+			l.waiting[r] = l.waiting[r][1:]
+			l.queued -= t.Bytes
+			l.tokens -= float64(t.Bytes)
+			t.done = true
+			t.Ready()
+		}
+	}
+	return 0
+}
+
+// Backlog returns how long the bytes of a rank and of more urgent ones already waiting will take to write.
+func (l *Link) Backlog(rank daisygap.Rank) daisygap.Millis {
+	if l.rate == 0 {
+		return 0
+	}
+	waiting := 0.0
+	for r := daisygap.Urgent; r <= rank; r++ {
+		for _, t := range l.waiting[r] {
+			waiting += float64(t.Bytes)
+		}
+	}
+	return daisygap.Millis(waiting / l.rate)
+}
+
+func (l *Link) nextWait() daisygap.Millis {
+	if l.rate <= 0 {
+		return windowMillis
+	}
+	return max(1, daisygap.Millis(-l.tokens/l.rate)+1)
+}
+
+func (l *Link) refill(now daisygap.Millis) {
+	l.tokens = min(l.tokens+float64(now-l.last)*l.rate, l.burst)
+	l.last = now
+}
--- /dev/null
+++ b/internal/policy/quota/loans.go
@@ -0,0 +1,73 @@
+package quota
+
+import "github.com/daisygap/daisygap"
+
+// Loan is a part of a limit that one daemon lets another use for a time.
+type Loan struct {
+	ID     uint64
+	Limit  string
+	Peer   string
+	Amount int
+	Until  daisygap.Millis
+}
+
+// Lender records what this daemon lent; it is not safe for concurrent use.
+type Lender struct {
+	next uint64
+	open map[uint64]Loan
+}
+
+// Lend opens a loan; Until is the lender's time at which the amount is surely unused again.
+func (l *Lender) Lend(limit, peer string, amount int, until daisygap.Millis) Loan {
+	if l.open == nil {
+		l.open = make(map[uint64]Loan)
+	}
+	l.next++
+	loan := Loan{ID: l.next, Limit: limit, Peer: peer, Amount: amount, Until: until}
+	l.open[loan.ID] = loan
+	return loan
+}
+
+// Extend moves the end of a loan to a later time, and reports whether the loan was still open for that peer.
+func (l *Lender) Extend(id uint64, peer string, until daisygap.Millis) bool {
+	loan, ok := l.open[id]
+	if !ok || loan.Peer != peer {
+		return false
+	}
+	loan.Until = max(loan.Until, until)
+	l.open[id] = loan
+	return true
+}
+
+// Return closes a loan before its end; a repeated return is ignored.
+func (l *Lender) Return(id uint64, peer string) (Loan, bool) {
+	loan, ok := l.open[id]
+	if !ok || loan.Peer != peer {
+		return Loan{}, false
+	}
+	delete(l.open, id)
+	return loan, true
+}
+
+// Lapsed closes and returns the loans whose end has passed.
+func (l *Lender) Lapsed(now daisygap.Millis) []Loan {
+	var lapsed []Loan
+	for id, loan := range l.open {
+		if now >= loan.Until {
+			lapsed = append(lapsed, loan)
+			delete(l.open, id)
+		}
+	}
+	return lapsed
+}
+
+// Out returns how much of a limit is lent now.
+func (l *Lender) Out(limit string) int {
+	n := 0
+	for _, loan := range l.open {
+		if loan.Limit == limit {
+			n += loan.Amount
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/policy/receipt/doc.go
@@ -0,0 +1,2 @@
+// Package receipt writes refusals as short signed strings that any daemon with the key can read back.
+package receipt
--- /dev/null
+++ b/internal/policy/receipt/receipt.go
@@ -0,0 +1,99 @@
+package receipt
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"strings"
+
+	"github.com/daisygap/daisygap"
+)
+
+// MaxLength is the longest receipt that Open reads, in bytes.
+const MaxLength = 2048
+
+const (
+	prefix   = "dg1"
+	macBytes = 16
+)
+
+// The ways in which a receipt is refused.
+var (
+	ErrFormat    = errors.New("this isn't a receipt: expected dg1.KEY.DATA.MAC, perhaps a part is cut off")
+	ErrKey       = errors.New("the key that signed this receipt is no longer listed under keys")
+	ErrSignature = errors.New("the signature doesn't match: the receipt was changed or forged")
+)
+
+// wire keeps the receipt short; it names no caller.
+type wire struct {
+	Reason  daisygap.Reason   `json:"w"`
+	Run     daisygap.RunState `json:"x"`
+	ID      string            `json:"i"`
+	Kind    string            `json:"k"`
+	Rank    daisygap.Rank     `json:"r"`
+	Host    string            `json:"h"`
+	Domain  string            `json:"d"`
+	Version uint64            `json:"v"`
+	Time    daisygap.Millis   `json:"t"`
+	Retry   daisygap.Millis   `json:"a"`
+	Figures [5]int64          `json:"f"`
+}
+
+// Seal signs a refusal with a named key.
+func Seal(r *daisygap.Refusal, name string, key []byte) string {
+	f := r.Figures
+	data, err := json.Marshal(wire{
+		Reason: r.Reason, Run: r.Run, ID: r.ID, Kind: r.Kind, Rank: r.Rank, Host: r.Host, Domain: r.Domain,
+		Version: r.Version, Time: r.Time, Retry: r.Retry,
+		Figures: [5]int64{int64(f.Queued), int64(f.Running), int64(f.Limit), int64(f.Wait), int64(f.Left)},
+	})
+	if err != nil {
+		return ""
+	}
+	signed := prefix + "." + name + "." + base64.RawURLEncoding.EncodeToString(data)
+	return signed + "." + base64.RawURLEncoding.EncodeToString(mac(signed, key))
+}
+
+// Open checks a receipt against the listed keys and returns the refusal; the error is ErrFormat, ErrKey or ErrSignature.
+func Open(text string, keys map[string][]byte) (*daisygap.Refusal, error) {
+	text = strings.TrimSpace(text)
+	parts := strings.Split(text, ".")
+	if len(text) > MaxLength || len(parts) != 4 || parts[0] != prefix {
+		return nil, ErrFormat
+	}
+	key, ok := keys[parts[1]]
+	if !ok {
+		return nil, ErrKey
+	}
+	given, err := base64.RawURLEncoding.DecodeString(parts[3])
+	if err != nil || len(given) != macBytes {
+		return nil, ErrFormat
+	}
+	if !hmac.Equal(given, mac(strings.Join(parts[:3], "."), key)) {
+		return nil, ErrSignature
+	}
+	data, err := base64.RawURLEncoding.DecodeString(parts[2])
+	if err != nil {
+		return nil, ErrFormat
+	}
+	var w wire
+	if err := json.Unmarshal(data, &w); err != nil {
+		return nil, ErrFormat
+	}
+	return &daisygap.Refusal{
+		Reason: w.Reason, Run: w.Run, ID: w.ID, Kind: w.Kind, Rank: w.Rank, Host: w.Host, Domain: w.Domain,
+		Version: w.Version, Time: w.Time, Retry: w.Retry,
+		Figures: daisygap.Figures{
+			Queued: int(w.Figures[0]), Running: int(w.Figures[1]), Limit: int(w.Figures[2]),
+			Wait: daisygap.Millis(w.Figures[3]), Left: daisygap.Millis(w.Figures[4]),
+		},
+	}, nil
+}
+
+func mac(signed string, key []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write([]byte(signed))
+	return h.Sum(nil)[:macBytes]
+}
--- /dev/null
+++ b/internal/policy/retry/budget.go
@@ -0,0 +1,37 @@
+package retry
+
+// Retries that are allowed before any fresh request has earned some.
+const initialCredit = 3
+
+// Most retries that a quiet time can save up.
+const maxCredit = 100
+
+// Budget allows a part of the fresh requests to be tried again; it is not safe for concurrent use.
+type Budget struct {
+	Ratio  float64
+	credit float64
+	primed bool
+}
+
+// Fresh counts a first attempt.
+func (b *Budget) Fresh() {
+	b.prime()
+	b.credit = min(b.credit+b.Ratio, maxCredit)
+}
+
+// Take spends one retry, or reports that the budget is used up.
+func (b *Budget) Take() bool {
+	b.prime()
+	if b.credit < 1 {
+		return false
+	}
+	b.credit--
+	return true
+}
+
+func (b *Budget) prime() {
+	if !b.primed && b.Ratio > 0 {
+		b.credit = initialCredit
+	}
+	b.primed = true
+}
--- /dev/null
+++ b/internal/policy/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds how much extra work retries may cause.
+package retry
--- /dev/null
+++ b/internal/policy/routing/choose.go
@@ -0,0 +1,133 @@
+package routing
+
+import (
+	"math/rand/v2"
+
+	"github.com/daisygap/daisygap"
+)
+
+// Choice is a domain to try, with the entry host to hand the request to; Host is zero for the daemon's own domain.
+type Choice struct {
+	Domain string
+	Host   daisygap.Host
+}
+
+// Query is what the choice of a domain depends on.
+type Query struct {
+	Request *daisygap.Request
+	Self    string
+	Host    string
+	Region  string
+	// OwnUsable tells that the daemon itself may start work in its own domain.
+	OwnUsable bool
+	// OwnPressure is the use of the daemon's own part of the slots.
+	OwnPressure float64
+	Tried       map[string]bool
+	// LinkWait returns how long bytes of the request's rank would wait on the link to a region.
+	LinkWait func(region string) daisygap.Millis
+	Now      daisygap.Millis
+	Random   *rand.Rand
+}
+
+// Least time that must be left for a hop to another region to make sense.
+const hopMillis = daisygap.Millis(80)
+
+// Choose returns the domain that should serve a request: the own one while it has room, else the nearest with free slots, else the own one again.
+func (w *World) Choose(q Query) (Choice, bool) {
+	c := w.State.Config
+	kind := q.Request.Kind
+	group := c.GroupOf(kind)
+	own := Choice{Domain: q.Self}
+	ownOpen := q.OwnUsable && !q.Tried[q.Self] && c.Allows(kind, q.Self) && !w.Closed(q.Self, group)
+	if ownOpen && q.OwnPressure < 1 && !w.movesAway(q, group) {
+		return own, true
+	}
+	if q.Request.Hop > 0 {
+		return own, ownOpen
+	}
+	fallback := Choice{}
+	for _, region := range Order(c, q.Region) {
+		if region != q.Region && !w.reachableInTime(q, region) {
+			continue
+		}
+		best, ok := w.freest(q, c.DomainsOf(region), group)
+		if !ok {
+			continue
+		}
+		if Pressure(w.Records[best.Domain].Groups[group]) < 1 {
+			return best, true
+		}
+		if fallback.Domain == "" {
+			fallback = best
+		}
+	}
+	if ownOpen {
+		return own, true
+	}
+	if sibling, ok := w.sibling(q, group); ok {
+		return sibling, true
+	}
+	return fallback, fallback.Domain != ""
+}
+
+// Closed tells whether a drained domain has given all of a group's work away.
+func (w *World) Closed(domain, group string) bool {
+	return w.State.Config.DomainDrained(domain) && w.Records[domain].Give[group] >= 1
+}
+
+// movesAway tells whether a request is in the part that a domain under drain hands to others by now.
+func (w *World) movesAway(q Query, group string) bool {
+	return w.State.Config.DomainDrained(q.Self) && q.Random.Float64() < w.Records[q.Self].Give[group]
+}
+
+// sibling returns another daemon of the own domain, for a daemon that may not use its own share.
+func (w *World) sibling(q Query, group string) (Choice, bool) {
+	if q.OwnUsable || q.Tried[q.Self] || w.Closed(q.Self, group) {
+		return Choice{}, false
+	}
+	r, ok := w.usable(q.Self, q.Request.Kind)
+	if !ok {
+		return Choice{}, false
+	}
+	var others []daisygap.Host
+	for _, h := range w.hosts(r) {
+		if h.Name != q.Host {
+			others = append(others, h)
+		}
+	}
+	if len(others) == 0 {
+		return Choice{}, false
+	}
+	return Choice{Domain: q.Self, Host: others[q.Random.IntN(len(others))]}, true
+}
+
+func (w *World) reachableInTime(q Query, region string) bool {
+	left := q.Request.Deadline - q.Now
+	return left > hopMillis+q.LinkWait(region)
+}
+
+// freest returns the usable domain of a region with the most free slots, and one of its hosts.
+func (w *World) freest(q Query, domains []string, group string) (Choice, bool) {
+	var best Choice
+	lowest := 0.0
+	for _, d := range domains {
+		if d == q.Self || q.Tried[d] || w.Closed(d, group) {
+			continue
+		}
+		r, ok := w.usable(d, q.Request.Kind)
+		if !ok {
+			continue
+		}
+		load := r.Groups[group]
+		if load.Slots == 0 {
+			continue
+		}
+		p := Pressure(load)
+		if best.Domain == "" || p < lowest {
+			hosts := w.hosts(r)
+			best = Choice{Domain: d, Host: hosts[q.Random.IntN(len(hosts))]}
+			lowest = p
+		}
+	}
+	return best, best.Domain != ""
+}
--- /dev/null
+++ b/internal/policy/routing/split.go
@@ -0,0 +1,164 @@
+package routing
+
+import (
+	"sort"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/policy/configuration"
+)
+
+const (
+	highPressure = 0.9
+	lowPressure  = 0.75
+	// A domain with more than this pressure takes no work that others give away.
+	takePressure = 0.85
+)
+
+// World is what a daemon knows of all domains at one time.
+type World struct {
+	State   *configuration.State
+	Records map[string]daisygap.Record
+}
+
+// Weighted is a domain with its part of the work, from 0 to 1.
+type Weighted struct {
+	Domain string
+	Weight float64
+}
+
+// Pressure returns the use of a group's slots, waiting requests included; 1 means that all are busy.
+func Pressure(l daisygap.Load) float64 {
+	if l.Slots == 0 {
+		return 1
+	}
+	return float64(l.Running+l.Waiting) / float64(l.Slots)
+}
+
+// NextGive moves the part that a domain gives away by at most a step, up while its slots are short or it drains, else down.
+func NextGive(give float64, load daisygap.Load, drained bool, step float64) float64 {
+	switch p := Pressure(load); {
+	case drained || load.Slots == 0 || p > highPressure:
+		return min(give+step, 1)
+	case p < lowPressure:
+		return max(give-step, 0)
+	}
+	return give
+}
+
+// Order returns the regions in the order in which work of one region should be served.
+func Order(c *daisygap.Configuration, region string) []string {
+	order := []string{region}
+	seen := map[string]bool{region: true}
+	for _, near := range c.Regions[region].Near {
+		if !seen[near] {
+			order = append(order, near)
+			seen[near] = true
+		}
+	}
+	var rest []string
+	for name := range c.Regions {
+		if !seen[name] {
+			rest = append(rest, name)
+		}
+	}
+	sort.Strings(rest)
+	return append(order, rest...)
+}
+
+// usable returns the record of a domain that may be named for a kind now.
+func (w *World) usable(domain, kind string) (daisygap.Record, bool) {
+	r, ok := w.Records[domain]
+	if !ok || r.Lost || !w.State.Config.Allows(kind, domain) {
+		return r, false
+	}
+	return r, len(w.hosts(r)) > 0
+}
+
+// hosts returns the entry hosts of a domain that are neither leaving nor drained.
+func (w *World) hosts(r daisygap.Record) []daisygap.Host {
+	var hosts []daisygap.Host
+	for _, h := range r.Hosts {
+		if !h.Leaving && !w.State.Config.Drains.Hosts[h.Name] {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+// Split returns how the work of one kind from one region is divided among domains.
+func (w *World) Split(region, kind string) []Weighted {
+	c := w.State.Config
+	group := c.GroupOf(kind)
+	var split []Weighted
+	given, kept := 0.0, 0.0
+	for tier, near := range Order(c, region) {
+		domains := c.DomainsOf(near)
+		if tier == 0 || kept+given == 0 {
+			split, given, kept = w.home(domains, kind, group)
+			continue
+		}
+		if given <= 0 {
+			break
+		}
+		taken := w.take(domains, kind, group, given)
+		for _, t := range taken {
+			split = append(split, t)
+			given -= t.Weight
+		}
+	}
+	return normalise(split)
+}
+
+// home divides work among the domains of the nearest region that has any, and returns what they give away and keep.
+func (w *World) home(domains []string, kind, group string) (split []Weighted, given, kept float64) {
+	for _, d := range domains {
+		r, ok := w.usable(d, kind)
+		if !ok {
+			continue
+		}
+		slots := float64(r.Groups[group].Slots)
+		give := r.Give[group]
+		given += slots * give
+		kept += slots * (1 - give)
+		if slots*(1-give) > 0 {
+			split = append(split, Weighted{Domain: d, Weight: slots * (1 - give)})
+		}
+	}
+	return split, given, kept
+}
+
+// take divides what others give away by free slots, and takes no more than those.
+func (w *World) take(domains []string, kind, group string, given float64) []Weighted {
+	var free []Weighted
+	total := 0.0
+	for _, d := range domains {
+		r, ok := w.usable(d, kind)
+		load := r.Groups[group]
+		if !ok || r.Give[group] > 0 || Pressure(load) > takePressure {
+			continue
+		}
+		spare := float64(load.Slots) * (1 - Pressure(load))
+		free = append(free, Weighted{Domain: d, Weight: spare})
+		total += spare
+	}
+	if total > given {
+		for i := range free {
+			free[i].Weight *= given / total
+		}
+	}
+	return free
+}
+
+func normalise(split []Weighted) []Weighted {
+	total := 0.0
+	for _, s := range split {
+		total += s.Weight
+	}
+	if total == 0 {
+		return nil
+	}
+	for i := range split {
+		split[i].Weight /= total
+	}
+	return split
+}
--- /dev/null
+++ b/internal/standin/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet starts a store, upstreams and daemons in one process on loopback, for the demo and for tests of whole paths.
+package fleet
--- /dev/null
+++ b/internal/standin/store/memory.go
@@ -0,0 +1,204 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/daisygap/daisygap"
+)
+
+type lease struct {
+	length daisygap.Millis
+	until  daisygap.Millis
+	keys   map[string]bool
+}
+
+// Counts are the calls that the service has answered, by their cost class.
+type Counts struct {
+	Reads   int64
+	Writes  int64
+	Watches int64
+	Waiting int64
+}
+
+// Memory keeps keys, leases and a change history; it is safe for concurrent use.
+type Memory struct {
+	Clock *daisygap.Clock
+
+	mu        sync.Mutex
+	entries   map[string]daisygap.Entry
+	leases    map[string]*lease
+	revision  uint64
+	nextLease int
+	changed   chan struct{}
+	counts    Counts
+}
+
+// NewMemory returns an empty store.
+func NewMemory(clock *daisygap.Clock) *Memory {
+	return &Memory{
+		Clock:   clock,
+		entries: make(map[string]daisygap.Entry),
+		leases:  make(map[string]*lease),
+		changed: make(chan struct{}),
+	}
+}
+
+// Counts returns the calls so far.
+func (m *Memory) Counts() Counts {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.counts
+}
+
+// Get returns an entry; a missing key has revision 0.
+func (m *Memory) Get(_ context.Context, key string) (daisygap.Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+	m.counts.Reads++
+	e := m.entries[key]
+	e.Key = key
+	return e, nil
+}
+
+// List returns the entries under a prefix after a key.
+func (m *Memory) List(_ context.Context, prefix, after string, limit int) (daisygap.Batch, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+	m.counts.Reads++
+	found := m.under(prefix, func(e daisygap.Entry) bool { return e.Key > after })
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	if limit > 0 && len(found) > limit {
+		found = found[:limit]
+	}
+	return daisygap.Batch{Entries: found, Revision: m.revision}, nil
+}
+
+// Swap writes a key whose revision is the expected one; an empty value deletes it.
+func (m *Memory) Swap(_ context.Context, key string, value []byte, expect uint64, leaseName string) (daisygap.Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+	m.counts.Writes++
+	if current := m.entries[key]; current.Revision != expect {
+		return current, daisygap.ErrConflict
+	}
+	if leaseName != "" {
+		l := m.leases[leaseName]
+		if l == nil {
+			return daisygap.Entry{}, daisygap.ErrLapsed
+		}
+		l.keys[key] = true
+	}
+	return m.put(key, value), nil
+}
+
+// Grant opens a lease.
+func (m *Memory) Grant(_ context.Context, length daisygap.Millis) (string, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counts.Writes++
+	m.nextLease++
+	name := fmt.Sprintf("lease-%d", m.nextLease)
+	m.leases[name] = &lease{length: length, until: m.Clock.Now() + length, keys: make(map[string]bool)}
+	return name, nil
+}
+
+// Renew extends a lease.
+func (m *Memory) Renew(_ context.Context, name string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+	m.counts.Writes++
+	l := m.leases[name]
+	if l == nil {
+		return daisygap.ErrLapsed
+	}
+	l.until = m.Clock.Now() + l.length
+	return nil
+}
+
+// Revoke ends a lease at once.
+func (m *Memory) Revoke(_ context.Context, name string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counts.Writes++
+	if l := m.leases[name]; l != nil {
+		m.drop(name, l)
+	}
+	return nil
+}
+
+// Watch returns changes under a prefix after a revision, or an empty batch when the wait is over.
+func (m *Memory) Watch(ctx context.Context, prefix string, after uint64, wait daisygap.Millis) (daisygap.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
+	defer cancel()
+	m.mu.Lock()
+	m.counts.Watches++
+	m.counts.Waiting++
+	defer func() {
+		m.counts.Waiting--
+		m.mu.Unlock()
+	}()
+	for {
+		m.expire()
+		found := m.under(prefix, func(e daisygap.Entry) bool { return e.Revision > after })
+		if len(found) > 0 || ctx.Err() != nil {
+			sort.Slice(found, func(i, j int) bool { return found[i].Revision < found[j].Revision })
+			return daisygap.Batch{Entries: found, Revision: m.revision}, nil
+		}
+		changed := m.changed
+		m.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+		m.mu.Lock()
+	}
+}
+
+func (m *Memory) under(prefix string, keep func(daisygap.Entry) bool) []daisygap.Entry {
+	var found []daisygap.Entry
+	for _, e := range m.entries {
+		if strings.HasPrefix(e.Key, prefix) && keep(e) {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+func (m *Memory) put(key string, value []byte) daisygap.Entry {
+	m.revision++
+	e := daisygap.Entry{Key: key, Value: value, Revision: m.revision}
+	if len(value) == 0 {
+		delete(m.entries, key)
+	} else {
+		m.entries[key] = e
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return e
+}
+
+func (m *Memory) expire() {
+	now := m.Clock.Now()
+	for name, l := range m.leases {
+		if now >= l.until {
+			m.drop(name, l)
+		}
+	}
+}
+
+func (m *Memory) drop(name string, l *lease) {
+	delete(m.leases, name)
+	for key := range l.keys {
+		if _, ok := m.entries[key]; ok {
+			m.put(key, nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/upstream/server.go
@@ -0,0 +1,241 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/daisygap/daisygap"
+)
+
+// PoisonPath is the path whose requests crash the server that runs them.
+const PoisonPath = "/poison"
+
+// Record is what the server saw, for tests to check the system against.
+type Record struct {
+	// Runs counts the starts of each request by its ID.
+	Runs    map[string]int
+	Peak    int
+	Shed    int
+	Crashes int
+	// Last is the time of the last start.
+	Last daisygap.Millis
+	// Cut counts requests whose caller went away before their end.
+	Cut int
+}
+
+// Server is one upstream; set the fields before Run.
+type Server struct {
+	Name    string
+	Clock   *daisygap.Clock
+	Slots   int
+	Service daisygap.Millis
+	// Size is the number of bytes of an answer.
+	Size int
+	// Cold is how long a start slows down after a crash or a start; the first requests take three times as long.
+	Cold daisygap.Millis
+	// Restart is how long the server is away after a crash.
+	Restart daisygap.Millis
+	Seed    uint64
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	running  int
+	started  daisygap.Millis
+	draining bool
+	record   Record
+	address  string
+	server   *http.Server
+	closed   bool
+	group    sync.WaitGroup
+}
+
+// Run starts serving on an address; port 0 picks a free one.
+func (s *Server) Run(address string) error {
+	s.random = rand.New(rand.NewPCG(s.Seed, 7))
+	s.record.Runs = make(map[string]int)
+	s.started = s.Clock.Now() - s.Cold
+	return s.listen(address)
+}
+
+func (s *Server) listen(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return daisygap.Fail("listen", address, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.address = listener.Addr().String()
+	s.server = &http.Server{Handler: s.handler(), ReadHeaderTimeout: 5 * time.Second}
+	server := s.server
+	s.group.Go(func() { _ = server.Serve(listener) })
+	return nil
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// Drain makes the server signal that it is leaving.
+func (s *Server) Drain(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = on
+}
+
+// Record returns a copy of what the server saw.
+func (s *Server) Record() Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.record
+	r.Runs = make(map[string]int, len(s.record.Runs))
+	for id, n := range s.record.Runs {
+		r.Runs[id] = n
+	}
+	return r
+}
+
+// Close stops the server at once.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	server := s.server
+	s.mu.Unlock()
+	_ = server.Close()
+	s.group.Wait()
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", s.health)
+	mux.HandleFunc("GET /load", s.load)
+	mux.HandleFunc("/", s.serve)
+	return mux
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		w.Header().Set(daisygap.HeaderDrain, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]int{"running": s.running, "slots": s.Slots})
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	span, ok := s.begin(r)
+	if !ok {
+		w.Header().Set(daisygap.HeaderRun, string(daisygap.NotRun))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.end()
+	if r.URL.Path == PoisonPath {
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
+	if !s.work(r.Context(), span) {
+		return
+	}
+	s.answer(w, r)
+}
+
+// begin takes a slot and returns the service time, or false when the server sheds the request.
+func (s *Server) begin(r *http.Request) (daisygap.Millis, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running >= s.Slots {
+		s.record.Shed++
+		return 0, false
+	}
+	s.running++
+	s.record.Peak = max(s.record.Peak, s.running)
+	s.record.Runs[r.Header.Get(daisygap.HeaderID)]++
+	now := s.Clock.Now()
+	s.record.Last = now
+	span := s.Service/2 + daisygap.Millis(s.random.Int64N(int64(s.Service)+1))
+	if now-s.started < s.Cold {
+		span *= 3
+	}
+	return span, true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+func (s *Server) work(ctx context.Context, span daisygap.Millis) bool {
+	timer := time.NewTimer(span.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.record.Cut++
+		return false
+	}
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	draining := s.draining
+	s.mu.Unlock()
+	if draining {
+		w.Header().Set(daisygap.HeaderDrain, "1")
+	}
+	head := fmt.Sprintf("%s %s\n", r.Header.Get(daisygap.HeaderID), s.Name)
+	size := max(s.Size, len(head))
+	w.Header().Set("Content-Length", strconv.Itoa(size))
+	_, _ = io.WriteString(w, head)
+	_, _ = io.CopyN(w, filler{}, int64(size-len(head)))
+}
+
+// crash drops every connection and comes back cold after the restart time.
+func (s *Server) crash() {
+	s.mu.Lock()
+	s.record.Crashes++
+	server, address := s.server, s.address
+	s.mu.Unlock()
+	s.group.Go(func() {
+		_ = server.Close()
+		time.Sleep(s.Restart.Duration())
+		s.mu.Lock()
+		s.started = s.Clock.Now()
+		closed := s.closed
+		s.mu.Unlock()
+		if !closed {
+			_ = s.listen(address)
+		}
+	})
+}
+
+type filler struct{}
+
+// Read fills the buffer with a fixed letter.
+func (filler) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
--- /dev/null
+++ b/log.go
@@ -0,0 +1,35 @@
+package daisygap
+
+import "github.com/sirupsen/logrus"
+
+// Log writes one part's short sentences with its fixed prefix.
+type Log struct {
+	Prefix string
+	Out    *logrus.Logger
+}
+
+// With returns a log for another part.
+func (l Log) With(prefix string) Log {
+	return Log{Prefix: prefix, Out: l.Out}
+}
+
+// Debugf writes a line for developers.
+func (l Log) Debugf(format string, args ...any) {
+	l.write(logrus.DebugLevel, format, args)
+}
+
+// Infof writes a line about ordinary events.
+func (l Log) Infof(format string, args ...any) {
+	l.write(logrus.InfoLevel, format, args)
+}
+
+// Warnf writes a line about something that an operator may have to look at.
+func (l Log) Warnf(format string, args ...any) {
+	l.write(logrus.WarnLevel, format, args)
+}
+
+func (l Log) write(level logrus.Level, format string, args []any) {
+	if l.Out != nil && l.Out.IsLevelEnabled(level) {
+		l.Out.Logf(level, l.Prefix+": "+format, args...)
+	}
+}
--- /dev/null
+++ b/peer.go
@@ -0,0 +1,164 @@
+package daisygap
+
+import (
+	"context"
+	"encoding/json"
+)
+
+// View is the agreed list of a domain's daemons that hold shares.
+type View struct {
+	Epoch   uint64   `json:"epoch"`
+	Seq     uint64   `json:"seq"`
+	Members []string `json:"members"`
+	// Next is the list that follows; while it is set, a daemon uses the smaller of its shares under both lists.
+	Next []string `json:"next,omitempty"`
+}
+
+// Beat is a daemon's heartbeat to its domain's leaseholder.
+type Beat struct {
+	Domain      string `json:"d"`
+	Host        Host   `json:"h"`
+	Incarnation string `json:"i"`
+	// Epoch and Seq name the last view that the daemon heard of.
+	Epoch uint64 `json:"e"`
+	Seq   uint64 `json:"s"`
+	// Ack is the last view that the daemon's use of its shares fits.
+	Ack uint64 `json:"a"`
+	// Held tells that the daemon holds a lease from an earlier heartbeat, maybe of a former leaseholder.
+	Held    bool            `json:"o,omitempty"`
+	Leaving bool            `json:"l,omitempty"`
+	Version uint64          `json:"v"`
+	Sum     uint64          `json:"m"`
+	Loads   map[string]Load `json:"g,omitempty"`
+	// Totals are the refusal counts of this incarnation that changed since the leaseholder last kept them.
+	Totals []Total `json:"t,omitempty"`
+}
+
+// Grant answers a heartbeat; a span of 0 gives no lease.
+type Grant struct {
+	Span    Millis   `json:"t"`
+	Epoch   uint64   `json:"e"`
+	View    *View    `json:"w,omitempty"`
+	Version uint64   `json:"v"`
+	Sum     uint64   `json:"m"`
+	Lost    []string `json:"l,omitempty"`
+	// Holder is the address of the leaseholder to ask instead, when the answering daemon isn't it.
+	Holder string `json:"h,omitempty"`
+}
+
+// Patch is one committed change of the configuration, as it is kept in the store under its version.
+type Patch struct {
+	Version uint64          `json:"version"`
+	ID      string          `json:"id"`
+	Author  string          `json:"author"`
+	Time    Millis          `json:"time"`
+	Merge   json.RawMessage `json:"merge"`
+}
+
+// Seen names the newest record of a domain that a daemon has.
+type Seen struct {
+	Seq  uint64 `json:"q"`
+	Beat uint64 `json:"b"`
+}
+
+// Digest tells what a daemon has, so that the other side sends only what is newer.
+type Digest struct {
+	Version uint64          `json:"v"`
+	Seen    map[string]Seen `json:"s"`
+}
+
+// Delta is what one side has that is newer than the other's digest.
+type Delta struct {
+	Version uint64          `json:"v"`
+	Patches []Patch         `json:"p,omitempty"`
+	Records []Record        `json:"r,omitempty"`
+	Beats   map[string]Seen `json:"b,omitempty"`
+	// Far tells that the patches no longer reach back; a snapshot is needed.
+	Far bool `json:"f,omitempty"`
+	// Want lists the domains of which the answering side's record is older.
+	Want []string `json:"w,omitempty"`
+}
+
+// Push spreads changes inside a domain along a tree over the hosts in Order.
+type Push struct {
+	Patches []Patch   `json:"p,omitempty"`
+	Records []Record  `json:"r,omitempty"`
+	Crashes []Crash   `json:"c,omitempty"`
+	Order   []Contact `json:"o,omitempty"`
+}
+
+// Contact is a daemon's name and peer address.
+type Contact struct {
+	Name string `json:"n"`
+	Peer string `json:"p"`
+}
+
+// Crash reports that a request was running on an upstream when it crashed.
+type Crash struct {
+	Upstream string `json:"u"`
+	Print    uint64 `json:"p"`
+	// Suspect tells that the request had been at a crash before and was the only such one there.
+	Suspect bool `json:"s,omitempty"`
+}
+
+// Lent is one loan of slots as the lender grants it.
+type Lent struct {
+	ID       uint64 `json:"i"`
+	Upstream string `json:"u"`
+	Amount   int    `json:"n"`
+}
+
+// LoanCall asks a peer to lend, extend, take back or recall loans of one group.
+type LoanCall struct {
+	Group  string   `json:"g"`
+	Host   string   `json:"h"`
+	Want   int      `json:"n,omitempty"`
+	Extend []uint64 `json:"e,omitempty"`
+	Return []uint64 `json:"r,omitempty"`
+	Recall bool     `json:"c,omitempty"`
+}
+
+// LoanAnswer holds new loans and the extended ones.
+type LoanAnswer struct {
+	Lent     []Lent   `json:"l,omitempty"`
+	Extended []uint64 `json:"e,omitempty"`
+}
+
+// Part is one piece of a configuration snapshot.
+type Part struct {
+	Version uint64 `json:"v"`
+	Parts   int    `json:"n"`
+	Data    []byte `json:"d"`
+}
+
+// Total counts refusals of one reason, kind, rank and minute in a domain.
+type Total struct {
+	Minute int64  `json:"m"`
+	Reason Reason `json:"w"`
+	Kind   string `json:"k"`
+	Rank   Rank   `json:"r"`
+	Domain string `json:"d"`
+	Count  int64  `json:"n"`
+}
+
+// Peers calls other daemons by their peer address.
+type Peers interface {
+	Beat(ctx context.Context, address string, b Beat) (Grant, error)
+	Sync(ctx context.Context, address string, d Digest) (Delta, error)
+	Push(ctx context.Context, address string, p Push) error
+	Part(ctx context.Context, address string, version uint64, part int) (Part, error)
+	Loan(ctx context.Context, address string, c LoanCall) (LoanAnswer, error)
+	Totals(ctx context.Context, address string) ([]Total, error)
+	Members(ctx context.Context, address string) (MemberList, error)
+}
+
+// PeerService answers the calls of other daemons.
+type PeerService interface {
+	ServeBeat(b Beat) Grant
+	ServeSync(d Digest) Delta
+	ServePush(p Push)
+	ServePart(version uint64, part int) (Part, error)
+	ServeLoan(c LoanCall) LoanAnswer
+	ServeTotals() []Total
+	ServeMembers() MemberList
+}
--- /dev/null
+++ b/record.go
@@ -0,0 +1,33 @@
+package daisygap
+
+// Host is one entry host as other daemons know it.
+type Host struct {
+	Name    string `json:"n"`
+	Caller  string `json:"c"`
+	Carry   string `json:"h"`
+	Peer    string `json:"p"`
+	Leaving bool   `json:"l,omitempty"`
+}
+
+// Load is the use of one group of upstreams in a domain.
+type Load struct {
+	Slots   int `json:"s"`
+	Running int `json:"r"`
+	Waiting int `json:"w"`
+}
+
+// Record is what a domain tells the others about itself.
+type Record struct {
+	Domain string `json:"d"`
+	// Seq grows with every change of the record.
+	Seq uint64 `json:"q"`
+	// Beat grows while the domain's leaseholder lives.
+	Beat   uint64          `json:"b"`
+	Hosts  []Host          `json:"h"`
+	Groups map[string]Load `json:"g"`
+	// Give is the part of each group's usual work that should go to other domains, from 0 to 1.
+	Give map[string]float64 `json:"v,omitempty"`
+	// Print lists the fingerprints that the domain holds back.
+	Prints []uint64 `json:"p,omitempty"`
+	Lost   bool     `json:"-"`
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,31 @@
+package daisygap
+
+// Headers between callers, daemons and upstreams.
+const (
+	HeaderID       = "Daisygap-Id"
+	HeaderDeadline = "Daisygap-Deadline"
+	HeaderRank     = "Daisygap-Rank"
+	HeaderKind     = "Daisygap-Kind"
+	HeaderCaller   = "Daisygap-Caller"
+	HeaderHop      = "Daisygap-Hop"
+	HeaderReason   = "Daisygap-Reason"
+	HeaderRun      = "Daisygap-Run"
+	HeaderReceipt  = "Daisygap-Receipt"
+	HeaderDrain    = "Daisygap-Drain"
+	HeaderHost     = "Daisygap-Host"
+	HeaderAttempt  = "Daisygap-Attempt"
+	HeaderKey      = "Idempotency-Key"
+)
+
+// Request is what the decisions need to know of one request.
+type Request struct {
+	ID       string
+	Kind     string
+	Rank     Rank
+	Caller   string
+	Deadline Millis
+	Repeat   bool
+	Hop      int
+	Print    uint64
+	Key      string
+}
--- /dev/null
+++ b/store.go
@@ -0,0 +1,43 @@
+package daisygap
+
+import (
+	"context"
+	"errors"
+)
+
+// ErrConflict is returned by Store.Swap when the key's revision is not the expected one.
+var ErrConflict = errors.New("the key has another revision")
+
+// ErrLapsed is returned by Store.Renew when the lease no longer exists.
+var ErrLapsed = errors.New("the lease has lapsed")
+
+// Entry is one key of the platform's key-value service.
+type Entry struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+// Batch is what a list or a watch returns, with the store's revision at that time.
+type Batch struct {
+	Entries  []Entry `json:"entries"`
+	Revision uint64  `json:"revision"`
+}
+
+// Store is the platform's key-value service; an error other than ErrConflict leaves a write's outcome unknown.
+type Store interface {
+	// Get returns the entry of a key; a missing key has revision 0.
+	Get(ctx context.Context, key string) (Entry, error)
+	// List returns the entries after a key under a prefix, in key order, up to a limit.
+	List(ctx context.Context, prefix, after string, limit int) (Batch, error)
+	// Swap writes a key if its revision is the expected one; 0 means that the key must not exist.
+	Swap(ctx context.Context, key string, value []byte, expect uint64, lease string) (Entry, error)
+	// Grant opens a lease of a length in milliseconds and returns its name.
+	Grant(ctx context.Context, length Millis) (string, error)
+	// Renew extends a lease to its full length from now, or returns ErrLapsed.
+	Renew(ctx context.Context, lease string) error
+	// Revoke ends a lease and deletes the keys that were written under it.
+	Revoke(ctx context.Context, lease string) error
+	// Watch returns the entries under a prefix changed after a revision, waiting up to a span for the first.
+	Watch(ctx context.Context, prefix string, after uint64, wait Millis) (Batch, error)
+}
