--- a/internal/adapter/upstream/pool.go
+++ b/internal/adapter/upstream/pool.go
@@ -19,7 +19,7 @@
 	// Usable tells whether the daemon's membership lease stands.
 	Usable func() bool
 	// Suspect tells whether a fingerprint was at a crash.
-	Suspect func(print uint64) bool
+	Suspect func(hash uint64) bool
 	// Short is called when requests wait and no slot is free; it must not block.
 	Short func()
 
--- /dev/null
+++ b/internal/command/check/check.go
@@ -0,0 +1,75 @@
+package check
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/settings"
+	"github.com/daisygap/daisygap/internal/command/term"
+	"github.com/daisygap/daisygap/internal/policy/configuration"
+)
+
+// Command is daisygap check.
+type Command struct {
+	Output term.Output
+}
+
+// Name returns the command's name.
+func (*Command) Name() string { return "check" }
+
+// Synopsis returns one line of help.
+func (*Command) Synopsis() string { return "check settings or configuration files" }
+
+// Usage returns the help text.
+func (*Command) Usage() string {
+	return "check FILE...\n  Tells a settings file from a configuration by its \"host\" field.\n"
+}
+
+// SetFlags defines no flags.
+func (*Command) SetFlags(*flag.FlagSet) {}
+
+// Execute checks all files and reports each fault.
+func (c *Command) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		c.Output.Printf("name at least one file to check")
+		return subcommands.ExitUsageError
+	}
+	status := subcommands.ExitSuccess
+	for _, file := range f.Args() {
+		what, err := checkFile(file)
+		if err != nil {
+			status = c.Output.Fail(err)
+			continue
+		}
+		c.Output.Printf("%s: %s, no fault found", file, what)
+	}
+	return status
+}
+
+func checkFile(file string) (string, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", daisygap.Fail("read", file, err)
+	}
+	if isSettings(data) {
+		_, err := settings.Parse(file, data)
+		return "settings", err
+	}
+	_, err = configuration.Parse(file, data, 1)
+	return "configuration", err
+}
+
+func isSettings(data []byte) bool {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return bytes.Contains(data, []byte(`"operator"`))
+	}
+	_, ok := fields["host"]
+	return ok
+}
--- /dev/null
+++ b/internal/command/demo/demo.go
@@ -0,0 +1,282 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/examples"
+	"github.com/daisygap/daisygap/internal/adapter/operator"
+	"github.com/daisygap/daisygap/internal/command/load"
+	"github.com/daisygap/daisygap/internal/command/term"
+	"github.com/daisygap/daisygap/internal/standin/caller"
+	"github.com/daisygap/daisygap/internal/standin/fleet"
+)
+
+const (
+	hostsPerDomain = 2
+	readyLimit     = 30 * time.Second
+	shortest       = 4 * time.Second
+	// Ordinary load as a part of the slots' capacity, and the flood as a multiple of it.
+	ordinary = 0.5
+	flood    = 10
+)
+
+// Command is daisygap demo.
+type Command struct {
+	Output term.Output
+
+	deployment string
+	span       time.Duration
+	json       bool
+	seed       uint64
+}
+
+// Name returns the command's name.
+func (*Command) Name() string { return "demo" }
+
+// Synopsis returns one line of help.
+func (*Command) Synopsis() string {
+	return "run a whole deployment on loopback with a flood and a drain"
+}
+
+// Usage returns the help text.
+func (*Command) Usage() string {
+	return "demo [--deployment hivecraft|capsula] [--for 20s] [--json]\n"
+}
+
+// SetFlags defines the flags.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.deployment, "deployment", "hivecraft", "hivecraft or capsula")
+	f.DurationVar(&c.span, "for", 20*time.Second, "how long to send requests")
+	f.BoolVar(&c.json, "json", false, "write one JSON object with the figures")
+	f.Uint64Var(&c.seed, "seed", 1, "seed of all random choices")
+}
+
+// profile is how a deployment's work behaves in the demo.
+type profile struct {
+	work    map[string]fleet.Work
+	path    map[string]string
+	flooded string
+	urgent  string
+	block   string
+}
+
+var profiles = map[string]profile{
+	"hivecraft": {
+		work: map[string]fleet.Work{
+			"catalogue": {Service: 40, Size: 2_000}, "orders": {Service: 100, Size: 500}, "drawings": {Service: 200, Size: 200_000},
+		},
+		path:    map[string]string{"catalogue": "/catalogue/frames", "orders": "/orders", "drawings": "/drawings/jig"},
+		flooded: "drawings", urgent: "orders", block: "10.101",
+	},
+	"capsula": {
+		work: map[string]fleet.Work{
+			"rosters": {Service: 40, Size: 2_000}, "bookings": {Service: 100, Size: 500}, "media": {Service: 200, Size: 200_000},
+		},
+		path:    map[string]string{"rosters": "/rosters/today", "bookings": "/bookings", "media": "/media/video"},
+		flooded: "media", urgent: "bookings", block: "10.111",
+	},
+}
+
+// report is what the demo prints as JSON.
+type report struct {
+	Deployment string       `json:"deployment"`
+	Seconds    float64      `json:"seconds"`
+	Rows       []caller.Row `json:"rows"`
+	Drain      drainReport  `json:"drain"`
+	// Accounted tells that every sent request is on time, late, refused or failed.
+	Accounted bool `json:"accounted"`
+}
+
+type drainReport struct {
+	Upstream string `json:"upstream"`
+	// LastStart is the time from the drain's commit to the last start at the upstream, in milliseconds.
+	LastStart daisygap.Millis `json:"last_start"`
+	Cut       int             `json:"cut"`
+	Version   uint64          `json:"version"`
+}
+
+// Execute runs the demo.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	p, ok := profiles[c.deployment]
+	if !ok {
+		return c.Output.Fail(&daisygap.FieldError{Field: "--deployment", Want: "hivecraft or capsula", Got: c.deployment})
+	}
+	if c.span < shortest {
+		return c.Output.Fail(&daisygap.FieldError{Field: "--for", Want: "at least " + shortest.String(), Got: c.span.String()})
+	}
+	document, err := examples.Files.ReadFile(c.deployment + "/configuration.json")
+	if err != nil {
+		return c.Output.Fail(err)
+	}
+	f := &fleet.Fleet{
+		Document: document, Hosts: fleet.HostsOf(document, hostsPerDomain), Work: p.work, Seed: c.seed, Cold: 2_000,
+	}
+	c.progress("starting the store, the upstreams and %d daemons on loopback", len(f.Hosts))
+	if err := f.Run(); err != nil {
+		return c.Output.Fail(err)
+	}
+	defer f.Close()
+	if err := f.Ready(readyLimit); err != nil {
+		return c.Output.Fail(err)
+	}
+	r, err := c.run(ctx, f, p)
+	if err != nil {
+		return c.Output.Fail(err)
+	}
+	return c.tell(r)
+}
+
+func (c *Command) progress(format string, args ...any) {
+	if !c.json {
+		c.Output.Printf(format, args...)
+	}
+}
+
+// run sends the load while the drain and the patch happen.
+func (c *Command) run(ctx context.Context, f *fleet.Fleet, p profile) (*report, error) {
+	flows, err := c.flows(f.Document, p)
+	if err != nil {
+		return nil, err
+	}
+	var targets []string
+	for _, n := range f.Nodes() {
+		targets = append(targets, n.Settings.Caller)
+	}
+	d := &caller.Driver{Targets: targets, Flows: flows, Seed: c.seed}
+	drained := make(chan drainReport, 1)
+	failed := make(chan error, 1)
+	go func() {
+		r, err := c.drainOne(ctx, f, p)
+		drained <- r
+		failed <- err
+	}()
+	c.progress("ordinary load for %v; a flood of %s at %d times its capacity from %v to %v", c.span, p.flooded, flood, c.span/4, c.span/2)
+	rows := d.Run(ctx)
+	r := &report{Deployment: c.deployment, Seconds: c.span.Seconds(), Rows: rows, Drain: <-drained, Accounted: true}
+	r.Drain.finish(f)
+	for _, row := range rows {
+		r.Accounted = r.Accounted && row.Sent == row.OnTime+row.Late+row.Refused+row.Failed
+	}
+	return r, <-failed
+}
+
+// flows gives each kind its ordinary load from each region, and the flooded kind the flood.
+func (c *Command) flows(document []byte, p profile) ([]caller.Flow, error) {
+	var config daisygap.Configuration
+	if err := json.Unmarshal(document, &config); err != nil {
+		return nil, err
+	}
+	var flows []caller.Flow
+	for _, kind := range slices.Sorted(maps.Keys(config.Kinds)) {
+		capacity := capacityOf(&config, kind, p)
+		k := config.Kinds[kind]
+		flow := caller.Flow{
+			Name: kind, Kind: kind, Rank: k.Rank, Method: http.MethodGet, Path: p.path[kind],
+			End: c.span, Target: k.Target, Callers: 40,
+		}
+		if !k.Repeat {
+			flow.Method, flow.Body = http.MethodPost, `{"count":1}`
+		}
+		for i, block := range blocks(p.block, len(config.Regions)) {
+			part := flow
+			part.Block, part.Rate = block, ordinary*capacity/float64(len(config.Regions))
+			flows = append(flows, part)
+			if kind == p.flooded {
+				part.Name, part.Start, part.End = kind+" flood", c.span/4, c.span/2
+				part.Rate = flood * capacity / float64(len(config.Regions))
+				part.Callers = 3 + i
+				flows = append(flows, part)
+			}
+		}
+	}
+	return flows, nil
+}
+
+// capacityOf returns the requests a second that the slots of a kind's group can serve.
+func capacityOf(c *daisygap.Configuration, kind string, p profile) float64 {
+	group := c.GroupOf(kind)
+	slots := 0
+	for _, u := range c.Upstreams {
+		if u.Group == group {
+			slots += u.Slots
+		}
+	}
+	return float64(slots) * 1000 / float64(p.work[group].Service)
+}
+
+// blocks counts up the second number of the first region's block.
+func blocks(first string, n int) []string {
+	var list []string
+	var a, b int
+	if _, err := fmt.Sscanf(first, "%d.%d", &a, &b); err != nil {
+		return nil
+	}
+	for i := range n {
+		list = append(list, strconv.Itoa(a)+"."+strconv.Itoa(b+i))
+	}
+	return list
+}
+
+// drainOne drains one upstream of the urgent kind by a patch, in the last part of the run.
+func (c *Command) drainOne(ctx context.Context, f *fleet.Fleet, p profile) (drainReport, error) {
+	timer := time.NewTimer(c.span * 6 / 10)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return drainReport{}, ctx.Err()
+	}
+	r := drainReport{Upstream: p.urgent + "-01"}
+	n := f.Nodes()[0]
+	client := &operator.Client{Base: "http://" + n.Settings.Operator, Token: fleet.Token, HTTP: &http.Client{}}
+	base, _, err := client.Document(ctx)
+	if err != nil {
+		return r, err
+	}
+	merge := json.RawMessage(`{"drains":{"upstreams":{"` + r.Upstream + `":true}}}`)
+	r.Version, err = client.Patch(ctx, base, daisygap.Patch{ID: "demo-drain", Author: "demo", Merge: merge})
+	if err != nil {
+		return r, err
+	}
+	r.LastStart = f.Clock.Now()
+	c.progress("version %d drains %s", r.Version, r.Upstream)
+	return r, nil
+}
+
+// finish turns the commit's time into the span until the last start.
+func (r *drainReport) finish(f *fleet.Fleet) {
+	u := f.Upstreams[r.Upstream]
+	if u == nil {
+		return
+	}
+	record := u.Record()
+	r.LastStart = max(record.Last-r.LastStart, 0)
+	r.Cut = record.Cut
+}
+
+func (c *Command) tell(r *report) subcommands.ExitStatus {
+	if c.json {
+		if status := c.Output.JSON(r); status != subcommands.ExitSuccess {
+			return status
+		}
+	} else {
+		load.PrintRows(c.Output, r.Rows)
+		c.Output.Printf("drain of %s: last start %d ms after the commit, %d requests cut", r.Drain.Upstream, r.Drain.LastStart, r.Drain.Cut)
+	}
+	if !r.Accounted {
+		c.Output.Printf("some requests are not accounted for")
+		return term.ExitFailed
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/command/load/load.go
@@ -0,0 +1,118 @@
+package load
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/command/term"
+	"github.com/daisygap/daisygap/internal/standin/caller"
+)
+
+// Command is daisygap load.
+type Command struct {
+	Output term.Output
+
+	targets string
+	flows   string
+	span    time.Duration
+	most    int
+	seed    uint64
+	block   string
+	callers int
+	json    bool
+	direct  bool
+}
+
+// Name returns the command's name.
+func (*Command) Name() string { return "load" }
+
+// Synopsis returns one line of help.
+func (*Command) Synopsis() string { return "send requests open loop and measure by kind and rank" }
+
+// Usage returns the help text.
+func (*Command) Usage() string {
+	return `load --target ADDRESS[,ADDRESS...] --flow KIND:RANK:METHOD:PATH:RATE:TARGET[,...]
+  RATE is in requests a second, TARGET in milliseconds; latency counts from the intended time of sending.
+`
+}
+
+// SetFlags defines the flags.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.targets, "target", "", "caller addresses of daemons")
+	f.StringVar(&c.flows, "flow", "", "what to send")
+	f.DurationVar(&c.span, "for", 10*time.Second, "how long to send")
+	f.IntVar(&c.most, "most", 1_000_000, "send at most so many requests")
+	f.Uint64Var(&c.seed, "seed", 1, "seed of the random gaps")
+	f.StringVar(&c.block, "block", "10.101", "first two numbers of the callers' addresses")
+	f.IntVar(&c.callers, "callers", 50, "number of callers in each flow")
+	f.BoolVar(&c.json, "json", false, "write JSON for programs")
+	f.BoolVar(&c.direct, "direct", false, "send all to the first target, without look-ups")
+}
+
+// Execute sends the load and prints a table.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	flows, err := c.parseFlows()
+	if err == nil && c.targets == "" {
+		err = &daisygap.FieldError{Field: "--target", Want: "at least one caller address"}
+	}
+	if err != nil {
+		return c.Output.Fail(err)
+	}
+	d := &caller.Driver{Targets: strings.Split(c.targets, ","), Flows: flows, Seed: c.seed, Most: c.most, Direct: c.direct}
+	rows := d.Run(ctx)
+	if c.json {
+		return c.Output.JSON(rows)
+	}
+	PrintRows(c.Output, rows)
+	return subcommands.ExitSuccess
+}
+
+func (c *Command) parseFlows() ([]caller.Flow, error) {
+	var flows []caller.Flow
+	for i, text := range strings.Split(c.flows, ",") {
+		parts := strings.Split(text, ":")
+		if len(parts) != 6 {
+			return nil, &daisygap.FieldError{Field: "--flow", Want: "KIND:RANK:METHOD:PATH:RATE:TARGET", Got: text}
+		}
+		var rank daisygap.Rank
+		if err := rank.UnmarshalText([]byte(parts[1])); err != nil {
+			return nil, &daisygap.FieldError{Field: "--flow", Want: "a rank", Got: parts[1]}
+		}
+		rate, err := strconv.ParseFloat(parts[4], 64)
+		if err != nil || rate <= 0 {
+			return nil, &daisygap.FieldError{Field: "--flow", Want: "a rate above 0", Got: parts[4]}
+		}
+		target, err := strconv.ParseInt(parts[5], 10, 32)
+		if err != nil || target <= 0 {
+			return nil, &daisygap.FieldError{Field: "--flow", Want: "a target in milliseconds", Got: parts[5]}
+		}
+		flows = append(flows, caller.Flow{
+			Name: fmt.Sprintf("%s-%d", parts[0], i), Kind: parts[0], Rank: rank, Method: parts[2], Path: parts[3],
+			Rate: rate, End: c.span, Target: daisygap.Millis(target), Callers: c.callers, Block: c.block,
+		})
+	}
+	return flows, nil
+}
+
+// PrintRows writes the table of what became of each flow.
+func PrintRows(o term.Output, rows []caller.Row) {
+	var cells [][]string
+	for _, r := range rows {
+		cells = append(cells, []string{
+			r.Flow, r.Kind, r.Rank.String(), strconv.Itoa(r.Sent), strconv.Itoa(r.OnTime), strconv.Itoa(r.Late),
+			strconv.Itoa(r.Refused), strconv.Itoa(r.Failed), number(r.P50), number(r.P99), number(r.P999), reasons(r.Reasons),
+		})
+	}
+	o.Table([]string{"FLOW", "KIND", "RANK", "SENT", "ON TIME", "LATE", "REFUSED", "FAILED", "P50", "P99", "P99.9", "WHY"}, cells)
+}
+
+func number(ms float64) string {
+	return strconv.FormatFloat(ms, 'f', 1, 64)
+}
--- /dev/null
+++ b/internal/command/load/reasons.go
@@ -0,0 +1,17 @@
+package load
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// reasons lists why requests were not served, in the order of names.
+func reasons(counts map[string]int) string {
+	var parts []string
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s %d", reason, counts[reason]))
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/command/operate/config.go
@@ -0,0 +1,142 @@
+package operate
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"strconv"
+	"time"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"github.com/google/subcommands"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/command/term"
+)
+
+// Config is daisygap config.
+type Config struct {
+	connection
+	since uint64
+}
+
+// NewConfig returns the command.
+func NewConfig(o term.Output) *Config { return &Config{connection: connection{Output: o}} }
+
+// Name returns the command's name.
+func (*Config) Name() string { return "config" }
+
+// Synopsis returns one line of help.
+func (*Config) Synopsis() string { return "show the configuration, its history, or how a file differs" }
+
+// Usage returns the help text.
+func (*Config) Usage() string {
+	return `config show            the version in force, without client blocks
+config history         the patches after --since
+config diff FILE       the patch that would turn the version in force into the file
+`
+}
+
+// SetFlags defines the flags.
+func (c *Config) SetFlags(f *flag.FlagSet) {
+	c.setFlags(f)
+	f.Uint64Var(&c.since, "since", 0, "show the history after this version")
+}
+
+// Execute runs one of the subcommands.
+func (c *Config) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	switch f.Arg(0) {
+	case "show", "":
+		return c.show(ctx)
+	case "history":
+		return c.history(ctx)
+	case "diff":
+		return c.diff(ctx, f.Arg(1))
+	}
+	c.Output.Printf("%s", c.Usage())
+	return subcommands.ExitUsageError
+}
+
+func (c *Config) show(ctx context.Context) subcommands.ExitStatus {
+	version, document, err := c.client().Document(ctx)
+	if err != nil {
+		return c.Output.Fail(err)
+	}
+	if c.json {
+		return c.Output.JSON(struct {
+			Version  uint64          `json:"version"`
+			Document json.RawMessage `json:"document"`
+		}{version, document})
+	}
+	var text bytes.Buffer
+	if err := json.Indent(&text, document, "", "  "); err != nil {
+		return c.Output.Fail(err)
+	}
+	c.Output.Printf("version %d\n%s", version, text.String())
+	return subcommands.ExitSuccess
+}
+
+func (c *Config) history(ctx context.Context) subcommands.ExitStatus {
+	patches, far, err := c.client().History(ctx, c.since)
+	if err != nil {
+		return c.Output.Fail(err)
+	}
+	if c.json {
+		return c.Output.JSON(patches)
+	}
+	if far {
+		c.Output.Printf("older versions are kept as a snapshot only")
+	}
+	var rows [][]string
+	for _, p := range patches {
+		rows = append(rows, []string{strconv.FormatUint(p.Version, 10), timeOf(p.Time), p.Author, p.ID, shorten(p.Merge)})
+	}
+	c.Output.Table([]string{"VERSION", "TIME", "AUTHOR", "ID", "PATCH"}, rows)
+	return subcommands.ExitSuccess
+}
+
+func timeOf(t daisygap.Millis) string {
+	if t == 0 {
+		return "-"
+	}
+	return time.UnixMilli(int64(t)).UTC().Format(time.RFC3339)
+}
+
+func shorten(merge []byte) string {
+	const most = 100
+	if len(merge) > most {
+		return string(merge[:most]) + "..."
+	}
+	return string(merge)
+}
+
+func (c *Config) diff(ctx context.Context, file string) subcommands.ExitStatus {
+	want, err := readFile(file)
+	if err != nil {
+		return c.Output.Fail(err)
+	}
+	_, document, err := c.client().Document(ctx)
+	if err != nil {
+		return c.Output.Fail(err)
+	}
+	merge, err := jsonpatch.CreateMergePatch(document, want)
+	if err != nil {
+		return c.Output.Fail(daisygap.Fail("compare", file, err))
+	}
+	return c.Output.JSON(json.RawMessage(withoutKeys(merge)))
+}
+
+// withoutKeys drops the signing keys from a difference, since the daemon shows them masked.
+func withoutKeys(merge []byte) []byte {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(merge, &fields) != nil {
+		return merge
+	}
+	delete(fields, "keys")
+	out, err := json.Marshal(fields)
+	if err != nil {
+		return merge
+	}
+	return out
+}
--- /dev/null
+++ b/internal/command/operate/doc.go
@@ -0,0 +1,2 @@
+// Package operate holds the operators' commands, which call a daemon's operator face.
+package operate
--- /dev/null
+++ b/internal/command/serve/doc.go
@@ -0,0 +1,2 @@
+// Package serve runs the daemon.
+package serve
--- /dev/null
+++ b/internal/command/serve/serve.go
@@ -0,0 +1,136 @@
+package serve
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/sirupsen/logrus"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/peer"
+	"github.com/daisygap/daisygap/internal/adapter/settings"
+	"github.com/daisygap/daisygap/internal/adapter/store"
+	"github.com/daisygap/daisygap/internal/adapter/upstream"
+	"github.com/daisygap/daisygap/internal/command/term"
+	"github.com/daisygap/daisygap/internal/daemon/entry"
+)
+
+const pruneSpan = 30 * time.Second
+
+// Command is daisygap serve.
+type Command struct {
+	Output term.Output
+
+	file string
+}
+
+// Name returns the command's name.
+func (*Command) Name() string { return "serve" }
+
+// Synopsis returns one line of help.
+func (*Command) Synopsis() string { return "run the daemon of one entry host" }
+
+// Usage returns the help text.
+func (*Command) Usage() string {
+	return "serve --settings FILE\n  Runs until SIGTERM, which stops gracefully; a second one ends at once.\n"
+}
+
+// SetFlags defines the flags.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "settings", "host.json", "the host's settings file")
+}
+
+// Execute runs the daemon.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, err := settings.Load(c.file)
+	if err != nil {
+		return c.Output.Fail(err)
+	}
+	faces, run, err := build(s, c.logger(s))
+	if err != nil {
+		return c.Output.Fail(err)
+	}
+	if err := faces.Open(); err != nil {
+		return c.Output.Fail(err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	faces.Daemon.Run(ctx)
+	faces.Run()
+	go run(ctx)
+	return c.untilStopped(faces, cancel)
+}
+
+func (c *Command) logger(s *daisygap.Settings) daisygap.Log {
+	out := logrus.New()
+	out.SetOutput(c.Output.Err)
+	out.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+	if level, err := logrus.ParseLevel(s.Level); err == nil {
+		out.SetLevel(level)
+	}
+	return daisygap.Log{Prefix: "serve", Out: out}
+}
+
+// build wires the daemon; run does the upkeep of its connections.
+func build(s *daisygap.Settings, log daisygap.Log) (*entry.Faces, func(context.Context), error) {
+	server, client, err := settings.LoadTLS(s.TLS)
+	if err != nil {
+		return nil, nil, err
+	}
+	peers := &peer.Client{TLS: client}
+	d := &entry.Daemon{
+		Settings: s, Clock: &daisygap.Clock{},
+		Store:    &store.Client{Base: s.Store, Host: s.Host, HTTP: &http.Client{}},
+		Peers:    peers,
+		Upstream: upstream.NewClient(nil, nil),
+		Carry:    upstream.NewClient(client, nil),
+		Log:      log, Timing: entry.DefaultTiming(),
+	}
+	return &entry.Faces{Daemon: d, Secure: server}, func(ctx context.Context) { prune(ctx, peers) }, nil
+}
+
+// prune closes unused connections to other daemons now and then.
+func prune(ctx context.Context, peers *peer.Client) {
+	ticker := time.NewTicker(pruneSpan)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			peers.Close()
+			return
+		case <-ticker.C:
+			peers.Prune()
+		}
+	}
+}
+
+// untilStopped waits for a signal and stops gracefully; a second signal ends at once and says what it cut.
+func (c *Command) untilStopped(f *entry.Faces, cancel context.CancelFunc) subcommands.ExitStatus {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	<-signals
+	stopping, hurry := context.WithCancel(context.Background())
+	defer hurry()
+	go func() {
+		<-signals
+		hurry()
+	}()
+	f.Daemon.Leave(stopping)
+	drained := f.Drain(stopping)
+	cut := f.Daemon.Finish(stopping)
+	cancel()
+	f.Close()
+	f.Daemon.Wait()
+	if cut > 0 || drained != nil {
+		c.Output.Printf("stopped at once: %d requests in flight were cut off", cut)
+		return term.ExitCut
+	}
+	return subcommands.ExitSuccess
+}
--- a/internal/daemon/entry/configuration.go
+++ b/internal/daemon/entry/configuration.go
@@ -42,8 +42,10 @@
 	mu     sync.Mutex
 	recent []daisygap.Patch
 	bytes  int
-	parts  [][]byte
-	partOf uint64
+	// parts is the encoded snapshot of version partOf, kept while others fetch it.
+	parts    [][]byte
+	partOf   uint64
+	partUsed daisygap.Millis
 }
 
 // applyPatches moves the state forward over the patches that follow it, and returns those that were new here.
@@ -359,6 +361,7 @@
 		state := d.state.Load()
 		v.parts, v.partOf = configuration.Encode(state), state.Version
 	}
+	v.partUsed = d.Clock.Now()
 	if n < 0 || n >= len(v.parts) {
 		return daisygap.Part{}, fmt.Errorf("part %d of %d", n, len(v.parts))
 	}
@@ -367,11 +370,16 @@
 
 // dropParts frees the encoded snapshot when nobody fetches it any more.
 func (d *Daemon) dropParts() {
-	d.versions.mu.Lock()
-	defer d.versions.mu.Unlock()
-	d.versions.parts = nil
+	v := &d.versions
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if d.Clock.Now()-v.partUsed > partsIdle {
+		v.parts = nil
+	}
 }
 
+const partsIdle = daisygap.Millis(20_000)
+
 // fetchSnapshot adopts a whole version from another daemon.
 func (d *Daemon) fetchSnapshot(address string) error {
 	first, err := d.Peers.Part(d.ctx, address, 0, 0)
--- a/internal/daemon/entry/gossip.go
+++ b/internal/daemon/entry/gossip.go
@@ -211,6 +211,7 @@
 	now := d.Clock.Now()
 	next := daisygap.Record{
 		Domain: d.Settings.Domain,
+		Holder: d.self.Peer,
 		Seq:    old.Seq,
 		Beat:   max(old.Beat+1, epoch<<32),
 		Groups: make(map[string]daisygap.Load),
@@ -283,20 +284,22 @@
 	return false
 }
 
-// otherDomain picks a daemon of another domain to exchange with: any known one, or one from the settings.
+// otherDomain picks the daemon to exchange with: another domain's leaseholder, now and then any daemon there, or one from the settings.
 func (d *Daemon) otherDomain() (string, bool) {
 	var list []string
+	anyHost := d.pick(8) == 0
 	records := d.gossip.snapshot()
-	names := slices.Sorted(maps.Keys(records))
-	for _, name := range names {
-		if name == d.Settings.Domain {
-			continue
-		}
-		for _, h := range records[name].Hosts {
-			list = append(list, h.Peer)
+	for _, name := range slices.Sorted(maps.Keys(records)) {
+		r := records[name]
+		switch {
+		case name == d.Settings.Domain:
+		case (anyHost || r.Lost) && len(r.Hosts) > 0:
+			list = append(list, r.Hosts[d.pick(len(r.Hosts))].Peer)
+		default:
+			list = append(list, r.Holder)
 		}
 	}
-	if len(list) < 2 || d.pick(8) == 0 {
+	if len(list) < 2 || anyHost {
 		for _, p := range d.Settings.Peers {
 			if p != d.Settings.Peer {
 				list = append(list, p)
@@ -365,6 +368,7 @@
 func (d *Daemon) ServeSync(digest daisygap.Digest) daisygap.Delta {
 	version := d.Version()
 	delta := daisygap.Delta{Version: version}
+	d.gossip.hear(digest.Seen, d.Clock.Now())
 	delta.Records, delta.Beats, delta.Want = d.gossip.newer(digest)
 	delta.Patches, delta.Far = d.versions.since(digest.Version, version)
 	return delta
--- a/internal/daemon/entry/link.go
+++ b/internal/daemon/entry/link.go
@@ -29,7 +29,6 @@
 	link  pacing.Link
 	bytes *metrics.Counter
 	timer *time.Timer
-	clock *daisygap.Clock
 }
 
 // set takes in the shares in bytes a second by the region that a link leads to.
--- a/internal/daemon/entry/membership.go
+++ b/internal/daemon/entry/membership.go
@@ -295,7 +295,7 @@
 		d.abandon(lease, err)
 		return
 	}
-	view, revision, err := d.openEpoch()
+	view, revision, first, err := d.openEpoch()
 	if err != nil {
 		d.abandon(lease, err)
 		return
@@ -305,7 +305,7 @@
 	defer m.mu.Unlock()
 	now := d.Clock.Now()
 	m.holder = &membership.Holder{Self: d.Settings.Host, Timing: d.timing()}
-	m.holder.TakeOver(view, now, asked+d.Timing.StoreLease)
+	m.holder.TakeOver(view, first, now, asked+d.Timing.StoreLease)
 	m.lease, m.viewRev, m.renewed = lease, revision, asked
 	m.leader, m.failures = "", 0
 	m.publish(now)
@@ -320,23 +320,24 @@
 }
 
 // openEpoch raises the epoch in the view key, which fences the writes of a former leaseholder.
-func (d *Daemon) openEpoch() (daisygap.View, uint64, error) {
+func (d *Daemon) openEpoch() (view daisygap.View, revision uint64, first bool, err error) {
 	entry, err := d.Store.Get(d.ctx, d.viewKey())
 	if err != nil {
-		return daisygap.View{}, 0, err
+		return view, 0, false, err
 	}
-	view := daisygap.View{Epoch: 1, Seq: 1, Members: []string{d.Settings.Host}}
-	if entry.Revision > 0 {
+	first = entry.Revision == 0
+	view = daisygap.View{Epoch: 1, Seq: 1, Members: []string{d.Settings.Host}}
+	if !first {
 		var stored viewValue
 		if err := json.Unmarshal(entry.Value, &stored); err != nil {
-			return daisygap.View{}, 0, err
+			return view, 0, false, err
 		}
 		view = stored.View
 		view.Epoch++
 		view.Seq++
 	}
-	revision, err := d.writeView(view, entry.Revision)
-	return view, revision, err
+	revision, err = d.writeView(view, entry.Revision)
+	return view, revision, first, err
 }
 
 // writeView stores a view; when the answer is lost, the key itself tells whether it took effect.
--- a/internal/daemon/entry/poison.go
+++ b/internal/daemon/entry/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/policy/poison"
@@ -11,36 +12,49 @@
 type prints struct {
 	mu       sync.Mutex
 	register poison.Register
-	blocked  []uint64
+	// known is the number of remembered fingerprints, so that the usual request takes no lock.
+	known   atomic.Int64
+	blocked []uint64
 }
 
 // maxBlocked bounds the fingerprints that a domain tells the others of.
 const maxBlocked = 32
 
 func (p *prints) suspect(clock *daisygap.Clock) func(uint64) bool {
-	return func(print uint64) bool {
+	return func(hash uint64) bool {
+		if p.known.Load() == 0 {
+			return false
+		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		return p.register.Suspect(print, clock.Now())
+		return p.register.Suspect(hash, clock.Now())
 	}
 }
 
-func (p *prints) isBlocked(print uint64, now daisygap.Millis) bool {
+func (p *prints) isBlocked(hash uint64, now daisygap.Millis) bool {
+	if p.known.Load() == 0 {
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.register.Blocked(print, now)
+	return p.register.Blocked(hash, now)
 }
 
-func (p *prints) clear(print uint64) {
+func (p *prints) clear(hash uint64) {
+	if p.known.Load() == 0 {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.register.Clear(print)
+	defer p.count()
+	p.register.Clear(hash)
 }
 
 // note takes in a crash report and tells whether the fingerprint is held back from now on.
 func (p *prints) note(c daisygap.Crash, now daisygap.Millis) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.count()
 	if !p.register.Note(c, now) {
 		return false
 	}
@@ -55,21 +69,27 @@
 func (p *prints) block(list []uint64, now daisygap.Millis) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, print := range list {
-		if !p.register.Blocked(print, now) {
-			p.register.Block(print, now)
+	defer p.count()
+	for _, hash := range list {
+		if !p.register.Blocked(hash, now) {
+			p.register.Block(hash, now)
 		}
 	}
 }
 
+// count publishes the number of fingerprints; the caller holds the lock.
+func (p *prints) count() {
+	p.known.Store(int64(p.register.Len()))
+}
+
 // ownBlocked returns the fingerprints that this domain found to be poison and that are still held back.
 func (p *prints) ownBlocked(now daisygap.Millis) []uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []uint64
-	for _, print := range p.blocked {
-		if p.register.Blocked(print, now) {
-			list = append(list, print)
+	for _, hash := range p.blocked {
+		if p.register.Blocked(hash, now) {
+			list = append(list, hash)
 		}
 	}
 	return list
--- a/internal/daemon/entry/tally.go
+++ b/internal/daemon/entry/tally.go
@@ -148,6 +148,7 @@
 // runTotals writes the domain's totals to the store while this daemon is the leaseholder.
 func (d *Daemon) runTotals() {
 	for d.pause(d.jitter(d.Timing.Totals)) {
+		d.dropParts()
 		if !d.holdsStoreLease() {
 			continue
 		}
--- a/internal/policy/membership/holder.go
+++ b/internal/policy/membership/holder.go
@@ -43,13 +43,17 @@
 	quorumAt   daisygap.Millis
 }
 
-// TakeOver starts a term of office with the view found in the store, which now carries the new epoch.
-func (h *Holder) TakeOver(view daisygap.View, now, storeUntil daisygap.Millis) {
+// TakeOver starts a term of office with the view found in the store, which now carries the new epoch; first tells that nobody held it before.
+func (h *Holder) TakeOver(view daisygap.View, first bool, now, storeUntil daisygap.Millis) {
 	h.view = view
 	h.tookOver = now
 	h.storeUntil = storeUntil
 	h.quorumAt = -1
 	h.members = make(map[string]*member)
+	if first {
+		h.tookOver = now - h.Timing.Lease - h.Timing.Longest
+		return
+	}
 	for _, host := range view.Members {
 		// What the former leaseholder granted is unknown; the longest possible is assumed.
 		h.members[host] = &member{granted: now + h.Timing.Lease}
--- a/internal/policy/poison/register.go
+++ b/internal/policy/poison/register.go
@@ -12,7 +12,7 @@
 const Memory = daisygap.Millis(300_000)
 
 type record struct {
-	print   uint64
+	hash    uint64
 	blocked bool
 	last    daisygap.Millis
 }
@@ -24,13 +24,13 @@
 }
 
 // Suspect tells whether a fingerprint was at a crash already, so that it must not run beside another suspect.
-func (g *Register) Suspect(print uint64, now daisygap.Millis) bool {
-	return g.find(print, now) != nil
+func (g *Register) Suspect(hash uint64, now daisygap.Millis) bool {
+	return g.find(hash, now) != nil
 }
 
 // Blocked tells whether a fingerprint is held back.
-func (g *Register) Blocked(print uint64, now daisygap.Millis) bool {
-	r := g.find(print, now)
+func (g *Register) Blocked(hash uint64, now daisygap.Millis) bool {
+	r := g.find(hash, now)
 	return r != nil && r.blocked
 }
 
@@ -45,18 +45,18 @@
 }
 
 // Clear forgets a fingerprint that an upstream has answered, unless it is held back already.
-func (g *Register) Clear(print uint64) {
-	e := g.records[print]
+func (g *Register) Clear(hash uint64) {
+	e := g.records[hash]
 	if e == nil || e.Value.(*record).blocked {
 		return
 	}
 	g.recent.Remove(e)
-	delete(g.records, print)
+	delete(g.records, hash)
 }
 
 // Block holds a fingerprint back because another daemon does.
-func (g *Register) Block(print uint64, now daisygap.Millis) {
-	g.touch(print, now).blocked = true
+func (g *Register) Block(hash uint64, now daisygap.Millis) {
+	g.touch(hash, now).blocked = true
 }
 
 // Len returns the number of remembered fingerprints.
@@ -64,35 +64,35 @@
 	return len(g.records)
 }
 
-func (g *Register) find(print uint64, now daisygap.Millis) *record {
-	e := g.records[print]
+func (g *Register) find(hash uint64, now daisygap.Millis) *record {
+	e := g.records[hash]
 	if e == nil {
 		return nil
 	}
 	r := e.Value.(*record)
 	if now-r.last > Memory {
 		g.recent.Remove(e)
-		delete(g.records, print)
+		delete(g.records, hash)
 		return nil
 	}
 	return r
 }
 
-func (g *Register) touch(print uint64, now daisygap.Millis) *record {
+func (g *Register) touch(hash uint64, now daisygap.Millis) *record {
 	if g.records == nil {
 		g.records = make(map[uint64]*list.Element)
 		g.recent = list.New()
 	}
-	if r := g.find(print, now); r != nil {
+	if r := g.find(hash, now); r != nil {
 		r.last = now
-		g.recent.MoveToFront(g.records[print])
+		g.recent.MoveToFront(g.records[hash])
 		return r
 	}
 	if len(g.records) >= maxPrints {
 		g.dropOldest()
 	}
-	r := &record{print: print, last: now}
-	g.records[print] = g.recent.PushFront(r)
+	r := &record{hash: hash, last: now}
+	g.records[hash] = g.recent.PushFront(r)
 	return r
 }
 
@@ -106,5 +106,5 @@
 		}
 	}
 	g.recent.Remove(victim)
-	delete(g.records, victim.Value.(*record).print)
+	delete(g.records, victim.Value.(*record).hash)
 }
--- /dev/null
+++ b/internal/standin/caller/driver.go
@@ -0,0 +1,360 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/daisygap/daisygap"
+)
+
+const (
+	maxLatencyMicros = 120_000_000
+	lookupTimeout    = 2 * time.Second
+	maxInFlight      = 20_000
+	// Time past the deadline after which a caller gives up.
+	patience = 2 * time.Second
+)
+
+// Flow is one kind of work sent at a fixed rate for a time.
+type Flow struct {
+	Kind   string
+	Rank   daisygap.Rank
+	Method string
+	Path   string
+	Body   string
+	// Rate is the number of requests a second, from Start to End after the driver's start.
+	Rate   float64
+	Start  time.Duration
+	End    time.Duration
+	Target daisygap.Millis
+	// Callers is the number of distinct callers that take turns; Name tells them from those of other flows.
+	Callers int
+	Name    string
+	// Block is the address of the callers' block; the callers' names carry it.
+	Block string
+}
+
+// Driver sends flows open loop: each request has its time, however late the answers of others are. Set the fields before Run.
+type Driver struct {
+	// Targets are caller addresses of daemons to ask for entry hosts.
+	Targets []string
+	Flows   []Flow
+	Seed    uint64
+	// Most bounds the number of requests of all flows; 0 doesn't.
+	Most int
+	// Direct sends every request to the first target, without look-ups.
+	Direct bool
+
+	client  *http.Client
+	mu      sync.Mutex
+	rows    map[string]*row
+	cache   map[string]cached
+	sent    int
+	results []Result
+	// Keep makes Run return each request's result.
+	Keep bool
+}
+
+// Result is the end of one request.
+type Result struct {
+	ID      string
+	Kind    string
+	Status  int
+	Reason  daisygap.Reason
+	Run     daisygap.RunState
+	Receipt string
+}
+
+type cached struct {
+	addresses []string
+	until     time.Time
+}
+
+type row struct {
+	Row
+	latency *hdrhistogram.Histogram
+}
+
+// Row is what became of one flow's requests; sent is the sum of on time, late, refused and failed.
+type Row struct {
+	Flow    string         `json:"flow"`
+	Kind    string         `json:"kind"`
+	Rank    daisygap.Rank  `json:"rank"`
+	Sent    int            `json:"sent"`
+	OnTime  int            `json:"on_time"`
+	Late    int            `json:"late"`
+	Refused int            `json:"refused"`
+	Failed  int            `json:"failed"`
+	Reasons map[string]int `json:"reasons,omitempty"`
+	// Latencies in milliseconds, from the intended time of sending to the end of whole answers.
+	P50  float64 `json:"p50"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+	// RefusedP50 is the median time until a refusal.
+	RefusedP50 float64 `json:"refused_p50"`
+	refusedIn  *hdrhistogram.Histogram
+}
+
+// Run sends all flows and waits for their answers.
+func (d *Driver) Run(ctx context.Context) []Row {
+	d.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2000, DisableCompression: true}}
+	defer d.client.CloseIdleConnections()
+	d.rows = make(map[string]*row)
+	d.cache = make(map[string]cached)
+	var group sync.WaitGroup
+	start := time.Now()
+	for i, flow := range d.Flows {
+		d.row(flow)
+		random := rand.New(rand.NewPCG(d.Seed, uint64(i)))
+		group.Go(func() { d.drive(ctx, start, flow, random) })
+	}
+	group.Wait()
+	return d.report()
+}
+
+// Results returns what Keep recorded.
+func (d *Driver) Results() []Result {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.results
+}
+
+func (d *Driver) report() []Row {
+	var rows []Row
+	seen := make(map[string]bool)
+	for _, flow := range d.Flows {
+		if seen[flow.Name] {
+			continue
+		}
+		seen[flow.Name] = true
+		r := d.rows[flow.Name]
+		r.P50, r.P99, r.P999 = millis(r.latency, 50), millis(r.latency, 99), millis(r.latency, 99.9)
+		r.RefusedP50 = millis(r.refusedIn, 50)
+		rows = append(rows, r.Row)
+	}
+	return rows
+}
+
+func millis(h *hdrhistogram.Histogram, percentile float64) float64 {
+	return float64(h.ValueAtPercentile(percentile)) / 1000
+}
+
+func (d *Driver) row(f Flow) *row {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.rows[f.Name]
+	if r == nil {
+		r = &row{latency: hdrhistogram.New(1, maxLatencyMicros, 3)}
+		r.Row = Row{Flow: f.Name, Kind: f.Kind, Rank: f.Rank, Reasons: make(map[string]int), refusedIn: hdrhistogram.New(1, maxLatencyMicros, 3)}
+		d.rows[f.Name] = r
+	}
+	return r
+}
+
+// drive sends one flow at exponential gaps.
+func (d *Driver) drive(ctx context.Context, start time.Time, f Flow, random *rand.Rand) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	slots := make(chan struct{}, maxInFlight)
+	due := f.Start
+	for n := 0; ; n++ {
+		due += time.Duration(random.ExpFloat64() / f.Rate * float64(time.Second))
+		if due >= f.End || !sleepUntil(ctx, start.Add(due)) || !d.admit() {
+			return
+		}
+		intended := start.Add(due)
+		id := fmt.Sprintf("%s-%d-%d", f.Name, d.Seed, n)
+		slots <- struct{}{}
+		group.Go(func() {
+			d.one(ctx, f, n, id, intended)
+			<-slots
+		})
+	}
+}
+
+func (d *Driver) admit() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sent++
+	return d.Most == 0 || d.sent <= d.Most
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// one sends one request; when a host can't be reached at all, it takes the next that the look-up named.
+func (d *Driver) one(ctx context.Context, f Flow, n int, id string, intended time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, intended.Add(f.Target.Duration()+patience))
+	defer cancel()
+	r := d.row(f)
+	addresses := d.hosts(ctx, f, n)
+	var result Result
+	err := errors.New("no entry host")
+	for _, address := range addresses {
+		result, err = d.send(ctx, f, n, id, address, intended)
+		if !notSent(err) {
+			break
+		}
+	}
+	took := time.Since(intended)
+	result.ID, result.Kind = id, f.Kind
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.Keep {
+		d.results = append(d.results, result)
+	}
+	r.Sent++
+	switch {
+	case err != nil:
+		r.Failed++
+		r.Reasons["failed: "+shortError(err)]++
+	case result.Reason != "":
+		r.Refused++
+		r.Reasons[string(result.Reason)]++
+		_ = r.refusedIn.RecordValue(took.Microseconds())
+	default:
+		_ = r.latency.RecordValue(took.Microseconds())
+		if took <= f.Target.Duration() {
+			r.OnTime++
+		} else {
+			r.Late++
+		}
+	}
+}
+
+type notSentError struct{ error }
+
+func notSent(err error) bool {
+	var e notSentError
+	return errors.As(err, &e)
+}
+
+func shortError(err error) string {
+	text := err.Error()
+	if i := strings.LastIndex(text, ": "); i >= 0 {
+		text = text[i+2:]
+	}
+	return text
+}
+
+// hosts returns the entry hosts to use, from the cache while the answer lives.
+func (d *Driver) hosts(ctx context.Context, f Flow, n int) []string {
+	if d.Direct {
+		return d.Targets[:1]
+	}
+	key := f.Kind + " " + f.Block + " " + strconv.Itoa(n%max(f.Callers, 1))
+	d.mu.Lock()
+	c, ok := d.cache[key]
+	d.mu.Unlock()
+	if ok && time.Now().Before(c.until) {
+		return c.addresses
+	}
+	for i := range d.Targets {
+		fresh, err := d.lookup(ctx, f, n, d.Targets[(n+i)%len(d.Targets)])
+		if err == nil {
+			d.mu.Lock()
+			d.cache[key] = fresh
+			d.mu.Unlock()
+			return fresh.addresses
+		}
+	}
+	return c.addresses
+}
+
+// address returns the address of one of the flow's callers, in its block.
+func (f Flow) address(n int) string {
+	if f.Block == "" {
+		return "127.0.0.1"
+	}
+	caller := n % max(f.Callers, 1)
+	return fmt.Sprintf("%s.%d.%d", f.Block, caller%250, 1+caller/250)
+}
+
+func (d *Driver) lookup(ctx context.Context, f Flow, n int, target string) (cached, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	url := "http://" + target + "/v1/lookup?kind=" + f.Kind + "&caller=" + f.address(n)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return cached{}, err
+	}
+	res, err := d.client.Do(req)
+	if err != nil {
+		return cached{}, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	var answer struct {
+		TTL   daisygap.Millis
+		Hosts []struct{ Address string }
+	}
+	if err := json.NewDecoder(res.Body).Decode(&answer); err != nil || len(answer.Hosts) == 0 {
+		return cached{}, errors.New("the look-up named no host")
+	}
+	c := cached{until: time.Now().Add(answer.TTL.Duration())}
+	for _, h := range answer.Hosts {
+		c.addresses = append(c.addresses, h.Address)
+	}
+	return c, nil
+}
+
+// send sends the request to one host and checks that the whole answer to it comes back.
+func (d *Driver) send(ctx context.Context, f Flow, n int, id, address string, intended time.Time) (Result, error) {
+	req, err := http.NewRequestWithContext(ctx, f.Method, "http://"+address+f.Path, strings.NewReader(f.Body))
+	if err != nil {
+		return Result{}, err
+	}
+	left := f.Target - daisygap.Millis(time.Since(intended)/time.Millisecond)
+	req.Header.Set(daisygap.HeaderID, id)
+	req.Header.Set(daisygap.HeaderCaller, f.address(n))
+	req.Header.Set(daisygap.HeaderDeadline, strconv.FormatInt(int64(max(left, 0)), 10))
+	if f.Method == http.MethodPost {
+		req.Header.Set(daisygap.HeaderKey, id)
+		// net/http would send a request with a key again by itself.
+		req.GetBody = nil
+	}
+	res, err := d.client.Do(req)
+	if err != nil {
+		if strings.Contains(err.Error(), "connection refused") {
+			return Result{}, notSentError{err}
+		}
+		return Result{}, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	result := Result{
+		Status:  res.StatusCode,
+		Reason:  daisygap.Reason(res.Header.Get(daisygap.HeaderReason)),
+		Run:     daisygap.RunState(res.Header.Get(daisygap.HeaderRun)),
+		Receipt: res.Header.Get(daisygap.HeaderReceipt),
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return result, err
+	}
+	if result.Reason == "" && !strings.HasPrefix(string(body), id+" ") {
+		return result, errors.New("the answer belongs to another request")
+	}
+	return result, nil
+}
--- a/record.go
+++ b/record.go
@@ -22,7 +22,9 @@
 	// Seq grows with every change of the record.
 	Seq uint64 `json:"q"`
 	// Beat grows while the domain's leaseholder lives.
-	Beat   uint64          `json:"b"`
+	Beat uint64 `json:"b"`
+	// Holder is the peer address of the domain's leaseholder.
+	Holder string          `json:"o"`
 	Hosts  []Host          `json:"h"`
 	Groups map[string]Load `json:"g"`
 	// Give is the part of each group's usual work that should go to other domains, from 0 to 1.
