--- a/internal/command/check/check.go
+++ b/internal/command/check/check.go
@@ -36,12 +36,13 @@
 
 // Execute checks all files and reports each fault.
 func (c *Command) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() == 0 {
+	files, err := term.Arguments(f)
+	if err != nil || len(files) == 0 {
 		c.Output.Printf("name at least one file to check")
 		return subcommands.ExitUsageError
 	}
 	status := subcommands.ExitSuccess
-	for _, file := range f.Args() {
+	for _, file := range files {
 		what, err := checkFile(file)
 		if err != nil {
 			status = c.Output.Fail(err)
--- a/internal/command/demo/demo.go
+++ b/internal/command/demo/demo.go
@@ -39,6 +39,7 @@
 	span       time.Duration
 	json       bool
 	seed       uint64
+	faults     uint64
 }
 
 // Name returns the command's name.
@@ -51,7 +52,9 @@
 
 // Usage returns the help text.
 func (*Command) Usage() string {
-	return "demo [--deployment hivecraft|capsula] [--for 20s] [--json]\n"
+	return `demo [--deployment hivecraft|capsula] [--for 20s] [--json]
+demo --faults SEED    ordinary load under random faults, checking what must always hold
+`
 }
 
 // SetFlags defines the flags.
@@ -59,6 +62,7 @@
 	f.StringVar(&c.deployment, "deployment", "hivecraft", "hivecraft or capsula")
 	f.DurationVar(&c.span, "for", 20*time.Second, "how long to send requests")
 	f.BoolVar(&c.json, "json", false, "write one JSON object with the figures")
+	f.Uint64Var(&c.faults, "faults", 0, "make faults at random from this seed and check the invariants")
 	f.Uint64Var(&c.seed, "seed", 1, "seed of all random choices")
 }
 
@@ -130,6 +134,9 @@
 	if err := f.Ready(readyLimit); err != nil {
 		return c.Output.Fail(err)
 	}
+	if c.faults > 0 {
+		return c.runFaults(ctx, f, p)
+	}
 	r, err := c.run(ctx, f, p)
 	if err != nil {
 		return c.Output.Fail(err)
@@ -149,11 +156,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var targets []string
-	for _, n := range f.Nodes() {
-		targets = append(targets, n.Settings.Caller)
-	}
-	d := &caller.Driver{Targets: targets, Flows: flows, Seed: c.seed}
+	d := &caller.Driver{Targets: callers(f), Flows: flows, Seed: c.seed}
 	drained := make(chan drainReport, 1)
 	failed := make(chan error, 1)
 	go func() {
--- a/internal/command/operate/ask.go
+++ b/internal/command/operate/ask.go
@@ -111,7 +111,11 @@
 
 // Execute asks the question.
 func (c *Lookup) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	answer, err := c.client().Lookup(ctx, c.caller, f.Arg(0))
+	args, err := term.Arguments(f)
+	if err != nil {
+		return subcommands.ExitUsageError
+	}
+	answer, err := c.client().Lookup(ctx, c.caller, term.First(args))
 	if err != nil {
 		return c.Output.Fail(err)
 	}
@@ -142,7 +146,11 @@
 
 // Execute explains a receipt.
 func (c *Explain) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	r, err := c.client().Explain(ctx, f.Arg(0))
+	args, err := term.Arguments(f)
+	if err != nil {
+		return subcommands.ExitUsageError
+	}
+	r, err := c.client().Explain(ctx, term.First(args))
 	if err != nil {
 		return c.Output.Fail(err)
 	}
@@ -249,7 +257,11 @@
 	var rows [][]string
 	for _, t := range totals {
 		at := time.Unix(t.Minute*60, 0).UTC().Format("2006-01-02T15:04Z")
-		rows = append(rows, []string{at, t.Domain, orNone(t.Kind), t.Rank.String(), string(t.Reason), strconv.FormatInt(t.Count, 10)})
+		rank := t.Rank.String()
+		if t.Kind == "" {
+			rank = "-"
+		}
+		rows = append(rows, []string{at, t.Domain, orNone(t.Kind), rank, string(t.Reason), strconv.FormatInt(t.Count, 10)})
 	}
 	c.Output.Table([]string{"MINUTE", "DOMAIN", "KIND", "RANK", "REASON", "COUNT"}, rows)
 	for _, m := range missing {
--- a/internal/command/operate/config.go
+++ b/internal/command/operate/config.go
@@ -46,13 +46,17 @@
 
 // Execute runs one of the subcommands.
 func (c *Config) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	switch f.Arg(0) {
+	args, err := term.Arguments(f)
+	if err != nil {
+		return subcommands.ExitUsageError
+	}
+	switch term.First(args) {
 	case "show", "":
 		return c.show(ctx)
 	case "history":
 		return c.history(ctx)
 	case "diff":
-		return c.diff(ctx, f.Arg(1))
+		return c.diff(ctx, term.First(args[1:]))
 	}
 	c.Output.Printf("%s", c.Usage())
 	return subcommands.ExitUsageError
--- a/internal/command/operate/patch.go
+++ b/internal/command/operate/patch.go
@@ -165,12 +165,16 @@
 
 // Execute commits the patch in a file.
 func (c *Patch) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	merge, err := readFile(f.Arg(0))
+	args, err := term.Arguments(f)
+	if err != nil {
+		return subcommands.ExitUsageError
+	}
+	merge, err := readFile(term.First(args))
 	if err != nil {
 		return c.Output.Fail(err)
 	}
 	if !json.Valid(merge) {
-		return c.Output.Fail(&daisygap.FieldError{File: f.Arg(0), Field: "patch", Want: "a JSON object (RFC 7396)"})
+		return c.Output.Fail(&daisygap.FieldError{File: args[0], Field: "patch", Want: "a JSON object (RFC 7396)"})
 	}
 	return c.send(ctx, merge)
 }
@@ -187,6 +191,9 @@
 	return data, daisygap.Fail("read", name, err)
 }
 
+// sections maps what can be drained to its part of the configuration.
+var sections = map[string]string{"host": "hosts", "upstream": "upstreams", "domain": "domains", "region": "regions"}
+
 // Drain is daisygap drain.
 type Drain struct {
 	commit
@@ -217,8 +224,8 @@
 
 // Execute patches the drains.
 func (c *Drain) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	section := map[string]string{"host": "hosts", "upstream": "upstreams", "domain": "domains", "region": "regions"}[f.Arg(0)]
-	if section == "" || f.Arg(1) == "" {
+	args, err := term.Arguments(f)
+	if err != nil || len(args) != 2 || sections[args[0]] == "" {
 		c.Output.Printf("%s", c.Usage())
 		return subcommands.ExitUsageError
 	}
@@ -233,6 +240,6 @@
 	if c.undo {
 		value = "null"
 	}
-	merge := `{"drains":{` + strconv.Quote(section) + `:{` + strconv.Quote(f.Arg(1)) + `:` + value + `}}}`
+	merge := `{"drains":{` + strconv.Quote(sections[args[0]]) + `:{` + strconv.Quote(args[1]) + `:` + value + `}}}`
 	return c.send(ctx, []byte(merge))
 }
--- a/internal/command/term/term.go
+++ b/internal/command/term/term.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"strings"
@@ -26,6 +27,28 @@
 	ExitCut     subcommands.ExitStatus = 9
 )
 
+// Arguments returns the arguments that are no flags, and sets flags that stand between or behind them.
+func Arguments(f *flag.FlagSet) ([]string, error) {
+	var list []string
+	rest := f.Args()
+	for len(rest) > 0 {
+		list = append(list, rest[0])
+		if err := f.Parse(rest[1:]); err != nil {
+			return nil, err
+		}
+		rest = f.Args()
+	}
+	return list, nil
+}
+
+// First returns the first argument, or "".
+func First(list []string) string {
+	if len(list) == 0 {
+		return ""
+	}
+	return list[0]
+}
+
 // Output is where a command writes.
 type Output struct {
 	Out io.Writer
--- a/internal/daemon/entry/carry.go
+++ b/internal/daemon/entry/carry.go
@@ -35,6 +35,8 @@
 	tried map[string]bool
 	// sent tells that the body was handed to a transport and can't be read again.
 	sent bool
+	// maybeRun tells that some attempt may have been run, so that no later refusal may say otherwise.
+	maybeRun bool
 }
 
 // attempt is the outcome of one try: an answer to pass on, or a refusal.
@@ -63,7 +65,7 @@
 	r.Body = http.MaxBytesReader(w, r.Body, caller.MaxBody)
 	in, problem := d.reader.Read(d.config(), r, hop)
 	switch {
-	case d.Version() == 0:
+	case d.world.Load() == nil:
 		d.refuse(w, d.refusal(in.Request, daisygap.ReasonNoConfiguration, daisygap.NotRun, daisygap.Figures{}), "this daemon has no configuration yet")
 		return
 	case problem != nil:
@@ -94,6 +96,7 @@
 			e.deliver(a)
 			return
 		}
+		e.maybeRun = e.maybeRun || a.refusal.Run != daisygap.NotRun
 		if !e.mayRetry(a.refusal, try) {
 			e.refuse(a)
 			return
@@ -381,8 +384,13 @@
 	}
 }
 
-// refuse writes a refusal, or passes on the one that another daemon issued.
+// refuse writes a refusal, or passes on the one that another daemon issued if it is true of all attempts.
 func (e *exchange) refuse(a attempt) {
+	if e.maybeRun && a.refusal.Run == daisygap.NotRun {
+		a.refusal.Run = daisygap.Unknown
+		e.discard(a)
+		a.sealed = nil
+	}
 	if a.sealed == nil {
 		if e.in.Request.Hop == 0 {
 			e.d.count(a.refusal)
--- a/internal/daemon/entry/configuration.go
+++ b/internal/daemon/entry/configuration.go
@@ -20,6 +20,8 @@
 	// Deltas larger than this are fetched as a snapshot.
 	maxDeltaBytes = 1 << 20
 	retryMillis   = daisygap.Millis(500)
+	firstRetry    = daisygap.Millis(50)
+	longestRetry  = daisygap.Millis(2_000)
 )
 
 func versionKey(version uint64) string {
@@ -53,7 +55,8 @@
 	v := &d.versions
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	state := d.state.Load()
+	before := d.state.Load()
+	state := before
 	var fresh []daisygap.Patch
 	for _, p := range patches {
 		if p.Version != state.Version+1 {
@@ -70,12 +73,22 @@
 	}
 	if len(fresh) > 0 {
 		d.state.Store(state)
-		d.Log.With("config").Infof("version %d is in force", state.Version)
-		d.replan()
+		d.Log.With("config").Debugf("version %d is in force", state.Version)
+		d.follow(before, state)
 	}
 	return fresh
 }
 
+// follow brings what is derived from the configuration up to date; a change of client blocks alone needs no new plan.
+func (d *Daemon) follow(before, state *configuration.State) {
+	table := d.table.Load()
+	if table == nil || !state.SameButBlocks(before) {
+		d.replan()
+		return
+	}
+	d.table.Store(table.WithState(state))
+}
+
 // adopt takes in a whole version from a snapshot; a lower one than the own is ignored.
 func (d *Daemon) adopt(state *configuration.State) {
 	v := &d.versions
@@ -137,6 +150,7 @@
 
 // startConfiguration gets the first version: from other daemons, which spares the store, else from the store.
 func (d *Daemon) startConfiguration() {
+	span := firstRetry
 	for d.Version() == 0 {
 		for _, address := range d.Settings.Peers {
 			if address != d.Settings.Peer {
@@ -149,9 +163,10 @@
 		if err := d.catchUp(d.ctx); err != nil {
 			d.Log.With("config").Debugf("the store gave no configuration: %v", err)
 		}
-		if d.Version() > 0 || !d.pause(d.jitter(retryMillis)) {
+		if d.Version() > 0 || !d.pause(d.jitter(span)) {
 			return
 		}
+		span = min(2*span, longestRetry)
 	}
 }
 
@@ -297,7 +312,7 @@
 		}
 		revision, err := d.readVersions(d.ctx)
 		if err == nil {
-			err = d.follow(revision)
+			err = d.watch(revision)
 		}
 		if err != nil {
 			d.Log.With("config").Debugf("the watch ended: %v", err)
@@ -306,7 +321,7 @@
 	}
 }
 
-func (d *Daemon) follow(revision uint64) error {
+func (d *Daemon) watch(revision uint64) error {
 	for d.holdsStoreLease() {
 		batch, err := d.Store.Watch(d.ctx, versionPrefix, revision, d.Timing.Watch)
 		if err != nil {
--- a/internal/daemon/entry/daemon.go
+++ b/internal/daemon/entry/daemon.go
@@ -104,7 +104,7 @@
 	}
 	d.random = rand.New(rand.NewPCG(seed, 1))
 	d.replanned = make(chan struct{}, 1)
-	d.members.member = membership.Member{Host: d.Settings.Host}
+	d.members.member = membership.Member{Host: d.Settings.Host, Started: d.Clock.Now()}
 	d.members.contacts = make(map[string]contact)
 	d.gossip.records = make(map[string]daisygap.Record)
 	d.gossip.advanced = make(map[string]daisygap.Millis)
--- a/internal/daemon/entry/membership.go
+++ b/internal/daemon/entry/membership.go
@@ -146,6 +146,7 @@
 		Version: d.Version(), Sum: d.gossip.sum(),
 		Loads: loads, Totals: d.tally.unsaved(),
 	}
+	b.Host.Away = d.stopping.Load() || !m.member.Valid(now)
 	b.Host.Leaving = d.stopping.Load()
 	return b
 }
@@ -197,7 +198,7 @@
 	} else if g.Epoch != view.Epoch {
 		return
 	}
-	m.member.Granted(membership.Lease{Span: g.Span, View: view}, sent, now)
+	m.member.Granted(membership.Lease{Span: g.Span, View: view, Timing: membership.Timing{Lease: g.Lease, Longest: g.Longest}}, sent, now)
 	m.publish(now)
 	if after := m.member.View(); after.Seq != before.Seq || after.Epoch != before.Epoch {
 		d.replan()
@@ -475,7 +476,7 @@
 	lease := m.holder.Beat(membership.Heartbeat{
 		Host: b.Host.Name, Incarnation: b.Incarnation, Ack: b.Ack, Leaving: b.Leaving, Held: b.Held,
 	}, now)
-	g := daisygap.Grant{Span: lease.Span, Epoch: lease.View.Epoch}
+	g := daisygap.Grant{Span: lease.Span, Epoch: lease.View.Epoch, Lease: lease.Timing.Lease, Longest: lease.Timing.Longest}
 	if b.Epoch != lease.View.Epoch || b.Seq != lease.View.Seq {
 		g.View = &lease.View
 	}
--- a/internal/daemon/entry/operations.go
+++ b/internal/daemon/entry/operations.go
@@ -10,8 +10,6 @@
 	"slices"
 	"sort"
 
-	jsonpatch "github.com/evanphx/json-patch/v5"
-
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/policy/routing"
 )
@@ -63,18 +61,19 @@
 	return s
 }
 
-// Document returns the version in force as JSON, with the signing keys masked.
+// Document returns the version in force as JSON with its names in order, and with the signing keys masked.
 func (d *Daemon) Document() (uint64, json.RawMessage, error) {
 	state := d.state.Load()
-	mask := make(map[string]any)
+	var fields map[string]any
+	if err := json.Unmarshal(state.Document, &fields); err != nil {
+		return 0, nil, err
+	}
+	mask := make(map[string]string)
 	for name := range state.Config.Keys {
 		mask[name] = "(hidden)"
 	}
-	patch, err := json.Marshal(map[string]any{"keys": mask})
-	if err != nil {
-		return 0, nil, err
-	}
-	document, err := jsonpatch.MergePatch(state.Document, patch)
+	fields["keys"] = mask
+	document, err := json.Marshal(fields)
 	return state.Version, document, err
 }
 
@@ -150,7 +149,8 @@
 
 func (d *Daemon) membersOf(ctx context.Context, domain string, r daisygap.Record) ([]daisygap.MemberStatus, bool) {
 	if domain == d.Settings.Domain && d.IsHolder() {
-		return d.ServeMembers().List, true
+		own := d.ServeMembers().List
+		return own, len(own) > 0
 	}
 	for _, h := range r.Hosts {
 		answer, err := d.Peers.Members(ctx, h.Peer)
--- a/internal/daemon/entry/plan.go
+++ b/internal/daemon/entry/plan.go
@@ -47,9 +47,13 @@
 	d.planPools(state, lists)
 	d.planLinks(state, lists)
 	d.budgets.set(state.Config)
-	world := &routing.World{State: state, Records: d.gossip.snapshot()}
+	world := routing.NewWorld(state, d.gossip.snapshot())
 	d.world.Store(world)
 	d.table.Store(routing.NewTable(world))
+	if d.state.Load() != state {
+		// A version came meanwhile; its client blocks must not be hidden by this older table.
+		d.replan()
+	}
 }
 
 func (d *Daemon) planPools(state *configuration.State, lists [][]string) {
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -146,13 +146,6 @@
 	}
 }
 
-// Start counts a request that starts at once because a slot is free and nothing waits.
-func (q *Queue) Start(name string) {
-	if k := q.byName[name]; k != nil {
-		k.running++
-	}
-}
-
 // Finish gives a slot back; a service time below 0 is not counted in the estimate.
 func (q *Queue) Finish(name string, service daisygap.Millis) {
 	k := q.byName[name]
--- /dev/null
+++ b/internal/policy/admission/queue_test.go
@@ -0,0 +1,236 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/daisygap/daisygap"
+)
+
+var threeRanks = []Rule{
+	{Name: "orders", Rank: daisygap.Urgent, Floor: 0.5, Queue: 50},
+	{Name: "catalogue", Rank: daisygap.Normal, Floor: 0.1, Queue: 50},
+	{Name: "drawings", Rank: daisygap.Background, Floor: 0.1, Queue: 50},
+}
+
+// bench serves one group with a number of slots and a fixed service time on a manual clock.
+type bench struct {
+	queue   Queue
+	slots   int
+	service daisygap.Millis
+	now     daisygap.Millis
+	ends    map[string][]daisygap.Millis
+	served  map[string]int
+	refused map[daisygap.Reason]int
+	byName  map[string]int
+}
+
+func newBench(rules []Rule, slots int, service daisygap.Millis) *bench {
+	b := &bench{
+		slots: slots, service: service, ends: make(map[string][]daisygap.Millis), served: make(map[string]int),
+		refused: make(map[daisygap.Reason]int), byName: make(map[string]int),
+	}
+	b.queue.SetRules(rules)
+	b.queue.SetLimit(slots)
+	return b
+}
+
+func (b *bench) offer(kind, caller string, left daisygap.Millis) *Item {
+	o := b.queue.Offer(&daisygap.Request{Kind: kind, Caller: caller, Deadline: b.now + left}, b.now)
+	if o.Denial != nil {
+		b.refused[o.Denial.Reason]++
+	}
+	if o.Evicted != nil {
+		b.refused[daisygap.ReasonQueueFull]++
+	}
+	b.start()
+	return o.Item
+}
+
+func (b *bench) start() {
+	for b.queue.Running() < b.slots {
+		p := b.queue.Pop(b.now)
+		b.refused[daisygap.ReasonDeadline] += len(p.Late)
+		if p.Item == nil {
+			return
+		}
+		kind := p.Item.Request.Kind
+		b.served[kind]++
+		b.byName[p.Item.Request.Caller]++
+		b.ends[kind] = append(b.ends[kind], b.now+b.service)
+	}
+}
+
+func (b *bench) tick() {
+	b.now++
+	for kind, ends := range b.ends {
+		var left []daisygap.Millis
+		for _, end := range ends {
+			if end > b.now {
+				left = append(left, end)
+				continue
+			}
+			b.queue.Finish(kind, b.service)
+		}
+		b.ends[kind] = left
+	}
+	b.start()
+}
+
+func TestFloodOfUrgentLeavesFloors(t *testing.T) {
+	b := newBench(threeRanks, 10, 50)
+	for range 10_000 {
+		for i := range 2 { // ten times what the slots can serve
+			b.offer("orders", fmt.Sprintf("o%d", i), 2_000)
+		}
+		if b.now%5 == 0 {
+			b.offer("catalogue", "c", 2_000)
+			b.offer("drawings", "d", 4_000)
+		}
+		b.tick()
+	}
+	total := b.served["orders"] + b.served["catalogue"] + b.served["drawings"]
+	for kind, floor := range map[string]float64{"catalogue": 0.1, "drawings": 0.1, "orders": 0.5} {
+		if part := float64(b.served[kind]) / float64(total); part < 0.95*floor {
+			t.Errorf("%s got %.3f of the slots in the flood, want at least 0.95 of its floor %.2f", kind, part, floor)
+		}
+	}
+	if part := float64(b.served["orders"]) / float64(total); part < 0.95*0.8 {
+		t.Errorf("orders got %.3f, want at least 0.95 of what the floors leave", part)
+	}
+	if useful := float64(total) / (10_000 / 50 * 10); useful < 0.95 {
+		t.Errorf("the slots did %.3f of what they could, want 0.95", useful)
+	}
+}
+
+func TestFloodOfBackgroundLeavesUrgentAlone(t *testing.T) {
+	b := newBench(threeRanks, 10, 50)
+	for range 10_000 {
+		for range 2 {
+			b.offer("drawings", "flood", 4_000)
+		}
+		if b.now%10 == 0 {
+			b.offer("orders", "o", 2_000)
+		}
+		b.tick()
+	}
+	if got := b.served["orders"]; got < 999 {
+		t.Errorf("%d of 1000 orders were served beside the flood", got)
+	}
+	left := 10_000/50*10 - b.served["orders"]
+	if got := float64(b.served["drawings"]) / float64(left); got < 0.95 {
+		t.Errorf("the flooded kind got %.3f of what is left over, want 0.95", got)
+	}
+}
+
+func TestFairnessAmongCallers(t *testing.T) {
+	b := newBench(threeRanks, 4, 20)
+	for range 4_000 {
+		for range 4 {
+			b.offer("catalogue", "greedy", 400)
+		}
+		if b.now%20 == 0 {
+			b.offer("catalogue", "modest", 400)
+		}
+		b.tick()
+	}
+	if got := b.byName["modest"]; got < 190 {
+		t.Errorf("the modest caller got %d of its 200 requests beside a flood of one other", got)
+	}
+}
+
+func TestDecisions(t *testing.T) {
+	one := []Rule{{Name: "k", Rank: daisygap.Normal, Queue: 2}}
+	tests := []struct {
+		name string
+		run  func(b *bench) any
+		want any
+	}{
+		{"expired work is never queued", func(b *bench) any {
+			b.offer("k", "a", 0)
+			return b.refused
+		}, map[daisygap.Reason]int{daisygap.ReasonExpired: 1}},
+		{"an unknown kind is refused", func(b *bench) any {
+			b.offer("x", "a", 100)
+			return b.refused
+		}, map[daisygap.Reason]int{daisygap.ReasonUnknownKind: 1}},
+		{"a full queue refuses the caller that fills it", func(b *bench) any {
+			for range 4 {
+				b.offer("k", "a", 1_000)
+			}
+			return b.refused
+		}, map[daisygap.Reason]int{daisygap.ReasonQueueFull: 1}},
+		{"a full queue makes room for another caller", func(b *bench) any {
+			for range 3 {
+				b.offer("k", "a", 1_000)
+			}
+			return b.offer("k", "b", 1_000) != nil
+		}, true},
+		{"the earliest deadline goes first within a turn", func(b *bench) any {
+			b.offer("k", "running", 1_000)
+			b.offer("k", "late", 900)
+			b.offer("k", "soon", 500)
+			for range 11 {
+				b.tick()
+			}
+			return b.byName
+		}, map[string]int{"running": 1, "soon": 1}},
+		{"work that can't end in time is not started", func(b *bench) any {
+			b.offer("k", "first", 1_000)
+			b.offer("k", "second", 15)
+			for range 11 {
+				b.tick()
+			}
+			return b.refused
+		}, map[daisygap.Reason]int{daisygap.ReasonDeadline: 1}},
+		{"a wait that is known to be too long is refused at once", func(b *bench) any {
+			b.offer("k", "first", 1_000)
+			for range 10 {
+				b.tick()
+			}
+			b.offer("k", "second", 1_000)
+			b.offer("k", "third", 15)
+			return b.refused
+		}, map[daisygap.Reason]int{daisygap.ReasonDeadline: 1}},
+		{"a cancelled request leaves the queue", func(b *bench) any {
+			b.offer("k", "first", 1_000)
+			b.queue.Remove(b.offer("k", "second", 1_000))
+			return b.queue.Waiting()
+		}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(one, 1, 10)
+			got := tt.run(b)
+			if counts, ok := got.(map[daisygap.Reason]int); ok {
+				for reason, n := range counts {
+					if n == 0 {
+						delete(counts, reason)
+					}
+				}
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func BenchmarkAdmission(b *testing.B) {
+	var q Queue
+	q.SetRules(threeRanks)
+	q.SetLimit(10)
+	requests := make([]*daisygap.Request, 64)
+	for i := range requests {
+		requests[i] = &daisygap.Request{Kind: threeRanks[i%3].Name, Caller: fmt.Sprint(i), Deadline: 1 << 40}
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		q.Offer(requests[i%64], 1)
+		if p := q.Pop(1); p.Item != nil {
+			q.Finish(p.Item.Request.Kind, 10)
+		}
+	}
+}
--- a/internal/policy/configuration/state.go
+++ b/internal/policy/configuration/state.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sort"
@@ -201,10 +202,20 @@
 	return s.Sites[index], true
 }
 
+// SameButBlocks tells whether two versions differ in nothing but their client blocks.
+func (s *State) SameButBlocks(other *State) bool {
+	return bytes.Equal(s.Document, other.Document)
+}
+
 // splitBlocks separates the client blocks of a merge patch from the rest.
 func splitBlocks(merge json.RawMessage) (map[string]*string, map[string]json.RawMessage, error) {
 	var rest map[string]json.RawMessage
-	if err := json.Unmarshal(merge, &rest); err != nil || rest == nil {
+	err := json.Unmarshal(merge, &rest)
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return nil, nil, fieldError(err)
+	}
+	if err != nil || rest == nil {
 		return nil, nil, &daisygap.FieldError{Field: "patch", Want: "a JSON object (RFC 7396)", Got: found(err)}
 	}
 	var blocks map[string]*string
--- /dev/null
+++ b/internal/policy/configuration/state_test.go
@@ -0,0 +1,198 @@
+package configuration
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/daisygap/daisygap"
+)
+
+func example(t testing.TB) []byte {
+	t.Helper()
+	data, err := os.ReadFile("../../../examples/hivecraft/configuration.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func parsed(t testing.TB) *State {
+	t.Helper()
+	s, err := Parse("configuration.json", example(t), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func patch(version uint64, merge string) daisygap.Patch {
+	return daisygap.Patch{Version: version, Merge: json.RawMessage(merge)}
+}
+
+func TestFaultsNameTheField(t *testing.T) {
+	tests := []struct{ merge, want string }{
+		{`{"kinds":{"orders":{"rank":"first"}}}`, `document: expected valid JSON, found rank "first" is none of urgent, normal, background`},
+		{`{"kinds":{"orders":{"floor":2}}}`, `kinds.orders.floor: expected a part from 0 to 1, found 2`},
+		{`{"kinds":{"orders":{"target":"soon"}}}`, `kinds.target: expected a number, found string`},
+		{`{"kinds":{"orders":{"domains":["nowhere"]}}}`, `kinds.orders.domains: expected names of domains, found "nowhere"`},
+		{`{"kinds":{"orders":{"match":[{"path":"orders"}]}}}`, `kinds.orders.match.path: expected a prefix that starts with /, found "orders"`},
+		{`{"links":{"tbilisi>kutaisi":{"rate":0}}}`, `links.tbilisi>kutaisi.rate: expected bytes a second above 0, found 0`},
+		{`{"links":{"tbilisi>paris":{"rate":1}}}`, `links.tbilisi>paris: expected a name from>to of two regions, found "tbilisi>paris"`},
+		{`{"groups":{"orders":{"kinds":["orders","catalogue"]}}}`, `groups.orders.kinds: expected each kind in one group only, found catalogue is in catalogue too`},
+		{`{"upstreams":{"orders-01":{"domain":"batumi-1"}}}`, `upstreams.orders-01.domain: expected the domain it had (tbilisi-1); remove the upstream in one patch and add it in a later one, found batumi-1`},
+		{`{"upstreams":{"orders-01":{"address":"orders.example:80"}}}`, `upstreams.orders-01.address: expected an IP address and port, found "orders.example:80"`},
+		{`{"upstreams":{"orders-01":{"slots":500}}}`, `upstreams.orders-01.connections: expected at least as many as slots, found 400`},
+		{`{"sign":"k9"}`, `sign: expected the name of a key in keys, found "k9"`},
+		{`{"keys":{"k1":"short"}}`, `keys.k1: expected at least 16 bytes in base64`},
+		{`{"colour":"blue"}`, `colour: expected a known field`},
+		{`{"blocks":{"10.1.2.3/16":"tbilisi-clients"}}`, `blocks.10.1.2.3/16: expected an address prefix with no host bits`},
+		{`{"blocks":{"10.1.0.0/16":"nowhere"}}`, `blocks.10.1.0.0/16: expected the name of a site, found nowhere`},
+		{`{"sites":{"batumi-clients":null}}`, `sites.batumi-clients: expected no client block left before the site is removed, found 10.103.0.0/16`},
+		{`{"drains":{"domains":{"nowhere":true}}}`, `drains.domains: expected names of domains, found "nowhere"`},
+		{`[1]`, `patch: expected a JSON object (RFC 7396), found json: cannot unmarshal array into Go value of type map[string]json.RawMessage`},
+		{`{"blocks":null}`, `blocks: expected an object; remove blocks one by one, found null`},
+	}
+	s := parsed(t)
+	for _, tt := range tests {
+		_, err := s.Apply(patch(2, tt.merge))
+		var field *daisygap.FieldError
+		if !errors.As(err, &field) {
+			t.Errorf("%s: %v, want a FieldError", tt.merge, err)
+			continue
+		}
+		if diff := cmp.Diff(tt.want, err.Error()); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", tt.merge, diff)
+		}
+	}
+}
+
+func TestFaultsInFilesNameTheLine(t *testing.T) {
+	text := strings.Replace(string(example(t)), `"rate": 500000000`, `"rate": -1`, 1)
+	_, err := Parse("c.json", []byte(text), 1)
+	if err == nil || !strings.HasPrefix(err.Error(), "c.json:") || !strings.Contains(err.Error(), "rate: expected bytes a second above 0, found -1") {
+		t.Errorf("a wrong rate is reported as %v", err)
+	}
+	_, err = Parse("c.json", []byte("{\n\"kinds\": {,}\n}"), 1)
+	if err == nil {
+		t.Error("broken JSON was accepted")
+	}
+}
+
+func TestVersionsNeverSkipOrRevert(t *testing.T) {
+	s := parsed(t)
+	next, err := s.Apply(patch(2, `{"blocks":{"10.101.7.0/24":"batumi-clients"},"lookup":{"ttl":1000}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddr("10.101.7.9")
+	before, _ := s.SiteOf(address)
+	after, _ := next.SiteOf(address)
+	if before != "tbilisi-clients" || after != "batumi-clients" || s.Config.Lookup.TTL != 3000 || next.Config.Lookup.TTL != 1000 {
+		t.Errorf("before: %s, ttl %d; after: %s, ttl %d", before, s.Config.Lookup.TTL, after, next.Config.Lookup.TTL)
+	}
+	for _, version := range []uint64{1, 2, 4} {
+		if _, err := next.Apply(patch(version, `{}`)); err == nil {
+			t.Errorf("version %d was applied to version 2", version)
+		}
+	}
+	gone, err := next.Apply(patch(3, `{"blocks":{"10.101.7.0/24":null}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if site, _ := gone.SiteOf(address); site != "tbilisi-clients" {
+		t.Errorf("after the block was removed its addresses belong to %s", site)
+	}
+}
+
+func TestSnapshotRoundTrip(t *testing.T) {
+	s := parsed(t)
+	s, err := s.Apply(patch(2, `{"sites":{"a-new-one":{"region":"batumi"}},"blocks":{"2001:db8::/32":"a-new-one"}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(2, Encode(s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(s.Config, got.Config); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	for _, text := range []string{"2001:db8::1", "10.103.1.1", "192.0.2.1"} {
+		want, _ := s.SiteOf(netip.MustParseAddr(text))
+		if site, _ := got.SiteOf(netip.MustParseAddr(text)); site != want {
+			t.Errorf("%s belongs to %q, want %q", text, site, want)
+		}
+	}
+}
+
+func FuzzApply(f *testing.F) {
+	s := parsed(f)
+	for _, seed := range []string{`{}`, `{"kinds":null}`, `{"blocks":{"10.0.0.0/8":null}}`, `{"lookup":{"ttl":1}}`, `{"keys":{"k1":1}}`, `[]`, `{"sites":{"x":{"region":"y"}}}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		next, err := s.Apply(daisygap.Patch{Version: 2, Merge: data})
+		if err != nil {
+			return
+		}
+		if err := Check(next.Config); err != nil {
+			t.Errorf("an accepted patch breaks the rules: %v", err)
+		}
+	})
+}
+
+// fullSize returns a state with the planned number of sites and blocks.
+func fullSize(b testing.TB, sites, blocks int) *State {
+	s := parsed(b)
+	list := make(map[string]daisygap.Site, sites)
+	for i := range sites {
+		list[fmt.Sprintf("site-%04d", i)] = daisygap.Site{Region: []string{"tbilisi", "kutaisi", "batumi"}[i%3]}
+	}
+	merge, err := json.Marshal(map[string]any{"sites": list})
+	if err != nil {
+		b.Fatal(err)
+	}
+	if s, err = s.Apply(daisygap.Patch{Version: 2, Merge: merge}); err != nil {
+		b.Fatal(err)
+	}
+	for i := range blocks {
+		address := netip.AddrFrom4([4]byte{byte(11 + i>>16), byte(i >> 8), byte(i), 0})
+		s.Blocks.Insert(netip.PrefixFrom(address, 24), uint32(i%sites))
+	}
+	return s
+}
+
+func BenchmarkApplyBlock(b *testing.B) {
+	for _, blocks := range []int{10_000, 100_000, 890_000} {
+		b.Run(fmt.Sprint(blocks), func(b *testing.B) {
+			s := fullSize(b, 3_800, blocks)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				merge := fmt.Sprintf(`{"blocks":{"11.%d.%d.0/24":"site-%04d"}}`, i>>8&255, i&255, i%3_800)
+				var err error
+				if s, err = s.Apply(daisygap.Patch{Version: s.Version + 1, Merge: json.RawMessage(merge)}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkApplyKind(b *testing.B) {
+	s := fullSize(b, 3_800, 890_000)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		merge := fmt.Sprintf(`{"kinds":{"orders":{"worth":%d}}}`, i)
+		var err error
+		if s, err = s.Apply(daisygap.Patch{Version: s.Version + 1, Merge: json.RawMessage(merge)}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/policy/membership/holder.go
+++ b/internal/policy/membership/holder.go
@@ -21,6 +21,8 @@
 type Lease struct {
 	Span daisygap.Millis
 	View daisygap.View
+	// Timing is what the leaseholder counts with.
+	Timing Timing
 }
 
 type member struct {
@@ -81,7 +83,7 @@
 // Beat takes in a heartbeat and answers it.
 func (h *Holder) Beat(b Heartbeat, now daisygap.Millis) Lease {
 	if !h.InOffice(now) {
-		return Lease{View: h.view}
+		return Lease{View: h.view, Timing: h.Timing}
 	}
 	m := h.members[b.Host]
 	if m == nil {
@@ -93,15 +95,15 @@
 			m.left = true
 			m.granted = now
 		}
-		return Lease{View: h.view}
+		return Lease{View: h.view, Timing: h.Timing}
 	}
 	m.seen = now
 	if !h.admit(m, b, now) {
-		return Lease{View: h.view}
+		return Lease{View: h.view, Timing: h.Timing}
 	}
 	m.ack = max(m.ack, b.Ack)
 	m.granted = now + h.Timing.Lease
-	return Lease{Span: h.Timing.Lease, View: h.view}
+	return Lease{Span: h.Timing.Lease, View: h.view, Timing: h.Timing}
 }
 
 // admit accepts a new incarnation of a host only when the old one can no longer use its shares.
@@ -131,7 +133,7 @@
 		return h.planActivation(now)
 	}
 	want := h.wanted(now)
-	if slices.Equal(want, h.view.Members) {
+	if len(want) == 0 || slices.Equal(want, h.view.Members) {
 		return daisygap.View{}, false
 	}
 	return daisygap.View{Epoch: h.view.Epoch, Seq: h.view.Seq + 1, Members: h.view.Members, Next: want}, true
--- a/internal/policy/membership/member.go
+++ b/internal/policy/membership/member.go
@@ -9,6 +9,8 @@
 // Member is a daemon's own side of its lease, on its own clock; it is not safe for concurrent use.
 type Member struct {
 	Host string
+	// Started is when this incarnation began.
+	Started daisygap.Millis
 
 	view    daisygap.View
 	until   daisygap.Millis
@@ -16,6 +18,23 @@
 	// promise is the time until which a former leaseholder may still count this member as bound to it.
 	promise daisygap.Millis
 	binding daisygap.Millis
+	// from is when requests of a former incarnation of the host have surely ended.
+	from  daisygap.Millis
+	heard bool
+}
+
+// inherit makes a new incarnation wait out what a former one of its host may have left: requests at upstreams, and a lease
+// that a leaseholder may still count as a binding.
+func (m *Member) inherit(view daisygap.View, timing Timing) {
+	if m.heard {
+		return
+	}
+	m.heard = true
+	firstView := view.Epoch == 1 && view.Seq == 1
+	if slices.Contains(view.Members, m.Host) && !firstView {
+		m.from = m.Started + timing.Longest
+		m.binding = m.Started + timing.Lease
+	}
 }
 
 // Granted takes in a leaseholder's answer to a heartbeat that was sent at a time and answered by now; it reports whether the lease was accepted.
@@ -23,8 +42,9 @@
 	if g.View.Epoch < m.view.Epoch {
 		return false
 	}
+	m.inherit(g.View, g.Timing)
 	if g.View.Epoch > m.granter {
-		m.promise = m.binding
+		m.promise = max(m.promise, m.binding)
 		m.granter = g.View.Epoch
 	}
 	if newer(g.View, m.view) {
@@ -40,7 +60,7 @@
 
 // Valid tells whether the lease stands, so that new work may use the shares.
 func (m *Member) Valid(now daisygap.Millis) bool {
-	return now < m.until && slices.Contains(m.view.Members, m.Host)
+	return now >= m.from && now < m.until && slices.Contains(m.view.Members, m.Host)
 }
 
 // Until returns the end of the lease.
@@ -67,7 +87,7 @@
 		return m.view.Seq
 	}
 	leaving := slices.Contains(m.view.Members, m.Host)
-	if leaving && (!shrunk || now < m.promise) {
+	if leaving && (!shrunk || now < m.promise || now < m.from) {
 		return m.view.Seq - 1
 	}
 	return m.view.Seq
--- /dev/null
+++ b/internal/policy/receipt/receipt_test.go
@@ -0,0 +1,63 @@
+package receipt
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/daisygap/daisygap"
+)
+
+var keys = map[string][]byte{"k1": []byte("first key of some length"), "k2": []byte("second key of some length")}
+
+var refusal = &daisygap.Refusal{
+	Reason: daisygap.ReasonDeadline, Run: daisygap.NotRun, ID: "r-1", Kind: "orders", Rank: daisygap.Urgent,
+	Host: "a", Domain: "d", Version: 7, Time: 1_700_000_000_000, Retry: 50,
+	Figures: daisygap.Figures{Queued: 1, Running: 2, Limit: 3, Wait: 4, Left: 5},
+}
+
+func TestReceiptRoundTrip(t *testing.T) {
+	got, err := Open(Seal(refusal, "k2", keys["k2"]), keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(refusal, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+func TestFalseReceiptsAreRefused(t *testing.T) {
+	good := Seal(refusal, "k1", keys["k1"])
+	parts := strings.Split(good, ".")
+	tests := []struct {
+		name, text string
+		want       error
+	}{
+		{"cut at its end", good[:len(good)-4], ErrFormat},
+		{"cut in the middle", good[:len(good)/2], ErrFormat},
+		{"changed data", parts[0] + "." + parts[1] + ".e30." + parts[3], ErrSignature},
+		{"another key's name", parts[0] + ".k2." + parts[2] + "." + parts[3], ErrSignature},
+		{"a key that is gone", parts[0] + ".k0." + parts[2] + "." + parts[3], ErrKey},
+		{"nothing", "", ErrFormat},
+		{"far too long", good + strings.Repeat("x", MaxLength), ErrFormat},
+	}
+	for _, tt := range tests {
+		if _, err := Open(tt.text, keys); !errors.Is(err, tt.want) {
+			t.Errorf("%s: %v, want %v", tt.name, err, tt.want)
+		}
+	}
+}
+
+func FuzzOpen(f *testing.F) {
+	f.Add(Seal(refusal, "k1", keys["k1"]))
+	f.Add("dg1.k1..")
+	f.Add("dg1.k1.e30.AAAAAAAAAAAAAAAAAAAAAA")
+	f.Fuzz(func(t *testing.T, text string) {
+		r, err := Open(text, keys)
+		if err == nil && Seal(r, strings.Split(strings.TrimSpace(text), ".")[1], keys[strings.Split(strings.TrimSpace(text), ".")[1]]) == "" {
+			t.Error("an accepted receipt can't be sealed again")
+		}
+	})
+}
--- a/internal/policy/routing/choose.go
+++ b/internal/policy/routing/choose.go
@@ -36,7 +36,7 @@
 func (w *World) Choose(q Query) (Choice, bool) {
 	c := w.State.Config
 	kind := q.Request.Kind
-	group := c.GroupOf(kind)
+	group := w.groups[kind]
 	own := Choice{Domain: q.Self}
 	ownOpen := q.OwnUsable && !q.Tried[q.Self] && c.Allows(kind, q.Self) && !w.Closed(q.Self, group)
 	if ownOpen && q.OwnPressure < 1 && !w.movesAway(q, group) {
@@ -46,11 +46,11 @@
 		return own, ownOpen
 	}
 	fallback := Choice{}
-	for _, region := range Order(c, q.Region) {
+	for _, region := range w.order[q.Region] {
 		if region != q.Region && !w.reachableInTime(q, region) {
 			continue
 		}
-		best, ok := w.freest(q, c.DomainsOf(region), group)
+		best, ok := w.freest(q, w.domains[region], group)
 		if !ok {
 			continue
 		}
@@ -85,12 +85,11 @@
 	if q.OwnUsable || q.Tried[q.Self] || w.Closed(q.Self, group) {
 		return Choice{}, false
 	}
-	r, ok := w.usable(q.Self, q.Request.Kind)
-	if !ok {
+	if _, ok := w.usable(q.Self, q.Request.Kind); !ok {
 		return Choice{}, false
 	}
 	var others []daisygap.Host
-	for _, h := range w.hosts(r) {
+	for _, h := range w.live[q.Self] {
 		if h.Name != q.Host {
 			others = append(others, h)
 		}
@@ -124,7 +123,7 @@
 		}
 		p := Pressure(load)
 		if best.Domain == "" || p < lowest {
-			hosts := w.hosts(r)
+			hosts := w.live[d]
 			best = Choice{Domain: d, Host: hosts[q.Random.IntN(len(hosts))]}
 			lowest = p
 		}
--- a/internal/policy/routing/split.go
+++ b/internal/policy/routing/split.go
@@ -14,10 +14,43 @@
 	takePressure = 0.85
 )
 
-// World is what a daemon knows of all domains at one time.
+// World is what a daemon knows of all domains at one time; it is never changed after it is made.
 type World struct {
 	State   *configuration.State
 	Records map[string]daisygap.Record
+
+	groups  map[string]string          // by kind
+	domains map[string][]string        // by region
+	order   map[string][]string        // regions by region, nearest first
+	live    map[string][]daisygap.Host // by domain
+}
+
+// NewWorld returns the world of a configuration and the domains' records.
+func NewWorld(state *configuration.State, records map[string]daisygap.Record) *World {
+	c := state.Config
+	w := &World{
+		State: state, Records: records,
+		groups:  make(map[string]string, len(c.Kinds)),
+		domains: make(map[string][]string, len(c.Regions)),
+		order:   make(map[string][]string, len(c.Regions)),
+		live:    make(map[string][]daisygap.Host, len(records)),
+	}
+	for kind := range c.Kinds {
+		w.groups[kind] = c.GroupOf(kind)
+	}
+	for name, d := range c.Domains {
+		w.domains[d.Region] = append(w.domains[d.Region], name)
+	}
+	for _, names := range w.domains {
+		sort.Strings(names)
+	}
+	for region := range c.Regions {
+		w.order[region] = order(c, region)
+	}
+	for name, r := range records {
+		w.live[name] = liveHosts(c, r)
+	}
+	return w
 }
 
 // Weighted is a domain with its part of the work, from 0 to 1.
@@ -45,13 +78,13 @@
 	return give
 }
 
-// Order returns the regions in the order in which work of one region should be served.
-func Order(c *daisygap.Configuration, region string) []string {
-	order := []string{region}
+// order returns the regions in the order in which work of one region should be served.
+func order(c *daisygap.Configuration, region string) []string {
+	list := []string{region}
 	seen := map[string]bool{region: true}
 	for _, near := range c.Regions[region].Near {
 		if !seen[near] {
-			order = append(order, near)
+			list = append(list, near)
 			seen[near] = true
 		}
 	}
@@ -62,7 +95,7 @@
 		}
 	}
 	sort.Strings(rest)
-	return append(order, rest...)
+	return append(list, rest...)
 }
 
 // usable returns the record of a domain that may be named for a kind now.
@@ -71,14 +104,14 @@
 	if !ok || r.Lost || !w.State.Config.Allows(kind, domain) {
 		return r, false
 	}
-	return r, len(w.hosts(r)) > 0
+	return r, len(w.live[domain]) > 0
 }
 
-// hosts returns the entry hosts of a domain that are neither leaving nor drained.
-func (w *World) hosts(r daisygap.Record) []daisygap.Host {
+// liveHosts returns the entry hosts of a domain that are neither away nor drained.
+func liveHosts(c *daisygap.Configuration, r daisygap.Record) []daisygap.Host {
 	var hosts []daisygap.Host
 	for _, h := range r.Hosts {
-		if !h.Leaving && !w.State.Config.Drains.Hosts[h.Name] {
+		if !h.Away && !c.Drains.Hosts[h.Name] {
 			hosts = append(hosts, h)
 		}
 	}
@@ -87,12 +120,11 @@
 
 // Split returns how the work of one kind from one region is divided among domains.
 func (w *World) Split(region, kind string) []Weighted {
-	c := w.State.Config
-	group := c.GroupOf(kind)
+	group := w.groups[kind]
 	var split []Weighted
 	given, kept := 0.0, 0.0
-	for tier, near := range Order(c, region) {
-		domains := c.DomainsOf(near)
+	for tier, near := range w.order[region] {
+		domains := w.domains[near]
 		if tier == 0 || kept+given == 0 {
 			split, given, kept = w.home(domains, kind, group)
 			continue
--- a/internal/policy/routing/table.go
+++ b/internal/policy/routing/table.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -11,7 +12,7 @@
 	"github.com/daisygap/daisygap/internal/policy/configuration"
 )
 
-// Answer is one precomputed answer to a look-up.
+// Answer is one ready answer to a look-up.
 type Answer struct {
 	Body   []byte
 	Domain string
@@ -36,10 +37,19 @@
 	Hosts   []Named         `json:"hosts"`
 }
 
+// answerSet holds the answers that name one domain first, one for each rotation of its hosts; each is rendered at its first use.
+type answerSet struct {
+	world   *World
+	kind    string
+	domain  string
+	backup  string
+	answers []atomic.Pointer[Answer]
+}
+
 // bucket maps a part of the hash space to the answers of one domain.
 type bucket struct {
-	upTo    uint32
-	answers []*Answer
+	upTo uint32
+	set  *answerSet
 }
 
 type cell struct {
@@ -78,17 +88,17 @@
 	}
 	t.unknown = t.regions[c.Sites[c.Lookup.Site].Region]
 	t.cells = make([]cell, len(t.regions)*len(t.kinds))
-	rendered := make(map[string][]*Answer)
+	sets := make(map[string]*answerSet)
 	for region, i := range t.regions {
 		for kind, j := range t.kinds {
-			t.cells[i*len(t.kinds)+j] = w.cell(region, kind, rendered)
+			t.cells[i*len(t.kinds)+j] = w.cell(region, kind, sets)
 		}
 	}
 	return t
 }
 
-// cell renders the answers for one region and kind; answers with the same domains are shared through the cache.
-func (w *World) cell(region, kind string, cache map[string][]*Answer) cell {
+// cell divides the hash space of one region and kind; equal sets of answers are shared between cells.
+func (w *World) cell(region, kind string, sets map[string]*answerSet) cell {
 	split := w.Split(region, kind)
 	var c cell
 	sum := 0.0
@@ -98,41 +108,63 @@
 		if i == len(split)-1 {
 			upTo = 1<<32 - 1
 		}
-		backup := ""
-		if len(split) > 1 {
-			backup = split[(i+1)%len(split)].Domain
-		}
+		backup := w.backup(split, i, region, kind)
 		key := kind + "\x00" + s.Domain + "\x00" + backup
-		if cache[key] == nil {
-			cache[key] = w.render(kind, s.Domain, backup)
+		set := sets[key]
+		if set == nil {
+			set = &answerSet{world: w, kind: kind, domain: s.Domain, backup: backup}
+			set.answers = make([]atomic.Pointer[Answer], len(w.live[s.Domain]))
+			sets[key] = set
 		}
-		c.buckets = append(c.buckets, bucket{upTo: upTo, answers: cache[key]})
+		c.buckets = append(c.buckets, bucket{upTo: upTo, set: set})
 	}
 	return c
 }
 
-// render makes one answer for each rotation of the domain's hosts, with a host of the backup domain at the end.
-func (w *World) render(kind, domain, backup string) []*Answer {
-	l := w.State.Config.Lookup
-	hosts := w.hosts(w.Records[domain])
-	spare := w.hosts(w.Records[backup])
-	answers := make([]*Answer, len(hosts))
-	for turn := range hosts {
-		var named []Named
-		for i := 0; i < len(hosts) && len(named) < l.Answers; i++ {
-			named = append(named, name(hosts[(turn+i)%len(hosts)], domain, 100>>min(i, 6)))
-		}
-		if len(spare) > 0 {
-			if len(named) == l.Answers && l.Answers > 1 {
-				named = named[:len(named)-1]
-			}
-			if len(named) < l.Answers {
-				named = append(named, name(spare[turn%len(spare)], backup, 1))
+// backup returns the domain that a caller should turn to when it reaches no host of the first one: the next of the split, else the nearest other.
+func (w *World) backup(split []Weighted, i int, region, kind string) string {
+	if len(split) > 1 {
+		return split[(i+1)%len(split)].Domain
+	}
+	for _, near := range w.order[region] {
+		for _, d := range w.domains[near] {
+			if _, ok := w.usable(d, kind); ok && d != split[i].Domain {
+				return d
 			}
 		}
-		answers[turn] = w.answer(kind, domain, named)
 	}
-	return answers
+	return ""
+}
+
+// answer returns the answer for a block's hash.
+func (s *answerSet) answer(hash uint64) *Answer {
+	turn := int(hash % uint64(len(s.answers)))
+	if a := s.answers[turn].Load(); a != nil {
+		return a
+	}
+	a := s.render(turn)
+	s.answers[turn].Store(a)
+	return a
+}
+
+// render makes the answer for one rotation of the domain's hosts, with a host of the backup domain at the end.
+func (s *answerSet) render(turn int) *Answer {
+	most := s.world.State.Config.Lookup.Answers
+	hosts := s.world.live[s.domain]
+	spare := s.world.live[s.backup]
+	var named []Named
+	for i := 0; i < len(hosts) && len(named) < most; i++ {
+		named = append(named, name(hosts[(turn+i)%len(hosts)], s.domain, 100>>min(i, 6)))
+	}
+	if len(spare) > 0 {
+		if len(named) == most && most > 1 {
+			named = named[:len(named)-1]
+		}
+		if len(named) < most {
+			named = append(named, name(spare[turn%len(spare)], s.backup, 1))
+		}
+	}
+	return s.world.answer(s.kind, s.domain, named)
 }
 
 func name(h daisygap.Host, domain string, weight int) Named {
@@ -156,6 +188,14 @@
 	}
 }
 
+// WithState returns the table for a version that differs in nothing but the client blocks; the version in the answers stays behind until the next build.
+func (t *Table) WithState(state *configuration.State) *Table {
+	next := *t
+	next.state = state
+	next.Version = state.Version
+	return &next
+}
+
 // Lookup returns the answer for a caller's address and a kind, or nil when no host may be named or the kind is unknown.
 func (t *Table) Lookup(address netip.Addr, kind string) *Answer {
 	k, ok := t.kinds[kind]
@@ -170,7 +210,7 @@
 	part := uint32(h)
 	for _, b := range t.cells[region*len(t.kinds)+k].buckets {
 		if part <= b.upTo {
-			return b.answers[(h>>32)%uint64(len(b.answers))]
+			return b.set.answer(h >> 32)
 		}
 	}
 	return nil
--- a/internal/standin/caller/driver.go
+++ b/internal/standin/caller/driver.go
@@ -26,6 +26,9 @@
 	patience = 2 * time.Second
 )
 
+// ErrForeign is how a request fails whose answer belongs to another one.
+var ErrForeign = errors.New("the answer belongs to another request")
+
 // Flow is one kind of work sent at a fixed rate for a time.
 type Flow struct {
 	Kind   string
@@ -332,8 +335,11 @@
 	req.Header.Set(daisygap.HeaderDeadline, strconv.FormatInt(int64(max(left, 0)), 10))
 	if f.Method == http.MethodPost {
 		req.Header.Set(daisygap.HeaderKey, id)
-		// net/http would send a request with a key again by itself.
-		req.GetBody = nil
+	}
+	// A body that can't be rewound keeps net/http from sending the request again by itself.
+	req.GetBody = nil
+	if f.Body == "" {
+		req.Body = io.NopCloser(strings.NewReader(""))
 	}
 	res, err := d.client.Do(req)
 	if err != nil {
@@ -354,7 +360,7 @@
 		return result, err
 	}
 	if result.Reason == "" && !strings.HasPrefix(string(body), id+" ") {
-		return result, errors.New("the answer belongs to another request")
+		return result, ErrForeign
 	}
 	return result, nil
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -151,7 +151,10 @@
 	settings := f.settings(h)
 	if old := f.nodes[h.Name]; old != nil {
 		again := *old.Settings
+		again.Peers = slices.Clone(f.peers)
 		settings = &again
+	} else {
+		defer func() { f.peers = append(f.peers, settings.Peer) }()
 	}
 	n := &Node{Settings: settings}
 	n.client = &peer.Client{Dial: func(ctx context.Context, address string) (net.Conn, error) {
@@ -171,7 +174,6 @@
 	if err := n.Faces.Open(); err != nil {
 		return nil, err
 	}
-	f.peers = append(f.peers, settings.Peer)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.Daemon.Run(ctx)
--- a/peer.go
+++ b/peer.go
@@ -36,7 +36,10 @@
 
 // Grant answers a heartbeat; a span of 0 gives no lease.
 type Grant struct {
-	Span    Millis   `json:"t"`
+	Span Millis `json:"t"`
+	// Lease is the length of leases, and Longest the longest time that a request may run, as the leaseholder counts.
+	Lease   Millis   `json:"y"`
+	Longest Millis   `json:"x"`
 	Epoch   uint64   `json:"e"`
 	View    *View    `json:"w,omitempty"`
 	Version uint64   `json:"v"`
--- a/record.go
+++ b/record.go
@@ -7,6 +7,8 @@
 	Carry   string `json:"h"`
 	Peer    string `json:"p"`
 	Leaving bool   `json:"l,omitempty"`
+	// Away tells that the host should get no new work: it is leaving, or holds no lease.
+	Away bool `json:"a,omitempty"`
 }
 
 // Load is the use of one group of upstreams in a domain.
