Faults on a fleet: take-over, store outage, planned stops, poison, races, skew

Cause: the soak shows that invariants hold, but not that service goes on; and one daemon of a domain with small shares could not use its neighbour's slots. Change: tests that bring each failure about. A refused connection leaves an upstream out at once without the bound on ejections, one of several may always be ejected, and after two unreachable upstreams another domain is tried. Small shares are lent whole; a lender that needs a slot recalls at once.

--- a/internal/adapter/upstream/loans.go
+++ b/internal/adapter/upstream/loans.go
@@ -7,7 +7,7 @@
 const (
 	// LoanSpan is how long a borrower may start work on a loan.
 	LoanSpan = daisygap.Millis(1_000)
-	// Part of a daemon's slots that it doesn't lend, so that its own first request finds one.
+	// One slot in so many isn't lent, so that a large daemon's own first request finds one.
 	reserveParts = 20
 )
 
@@ -59,8 +59,7 @@
 		share += u.Share
 		idle += max(u.Share-u.Lent-u.Running, 0)
 	}
-	reserve := (share + reserveParts - 1) / reserveParts
-	return idle - reserve
+	return idle - share/reserveParts
 }
 
 // Extend lets a peer go on using loans; it returns those that stand. A lender whose own requests wait extends none.
--- a/internal/daemon/entry/carry.go
+++ b/internal/daemon/entry/carry.go
@@ -21,7 +21,9 @@
 )
 
 const (
-	maxTries   = 4
+	maxTries = 4
+	// Upstreams of the own domain that are tried before another domain is.
+	localTries = 2
 	copyBuffer = 32 << 10
 )
 
@@ -37,6 +39,8 @@
 	sent bool
 	// maybeRun tells that some attempt may have been run, so that no later refusal may say otherwise.
 	maybeRun bool
+	// unreached counts the upstreams of the own domain that could not be reached.
+	unreached int
 }
 
 // attempt is the outcome of one try: an answer to pass on, or a refusal.
@@ -225,13 +229,17 @@
 	figures := daisygap.Figures{Left: e.left()}
 	e.d.Log.With("upstream").Debugf("%v", err)
 	if errors.Is(err, upstream.ErrNotSent) {
-		outcome := balance.Broken
+		outcome := balance.Unreachable
 		reason := daisygap.ReasonUnreachable
 		if e.ctx.Err() != nil {
 			outcome = balance.Abandoned
 			reason = e.ended()
 		}
 		slot.Done(outcome)
+		e.unreached++
+		if e.unreached >= localTries {
+			e.tried[e.d.Settings.Domain] = true
+		}
 		return attempt{refusal: e.refusal(reason, daisygap.NotRun, figures)}
 	}
 	if e.ctx.Err() != nil {
--- /dev/null
+++ b/internal/daemon/entry/fault_test.go
@@ -0,0 +1,292 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/standin/caller"
+	"github.com/daisygap/daisygap/internal/standin/fleet"
+	"github.com/daisygap/daisygap/internal/standin/store"
+	"github.com/daisygap/daisygap/internal/standin/upstream"
+)
+
+// holderOf returns the leaseholder of a domain.
+func holderOf(f *fleet.Fleet, domain string, dead ...*fleet.Node) *fleet.Node {
+	for _, n := range f.Nodes() {
+		if n.Settings.Domain == domain && n.Daemon.IsHolder() && !slices.Contains(dead, n) {
+			return n
+		}
+	}
+	return nil
+}
+
+func addresses(f *fleet.Fleet) []string {
+	var list []string
+	for _, n := range f.Nodes() {
+		list = append(list, n.Settings.Caller)
+	}
+	return list
+}
+
+// steady sends orders and catalogue look-ups at a low rate for a time.
+func steady(f *fleet.Fleet, span time.Duration) ([]caller.Row, []caller.Result) {
+	d := &caller.Driver{Targets: addresses(f), Seed: 1, Keep: true, Flows: []caller.Flow{
+		{Name: "once", Kind: "orders", Method: "POST", Path: "/orders", Body: "{}", Rate: 100, End: span, Target: 2_000, Callers: 20, Block: "10.101"},
+		{Name: "catalogue", Kind: "catalogue", Method: "GET", Path: "/catalogue", Rate: 200, End: span, Target: 500, Callers: 20, Block: "10.102"},
+	}}
+	rows := d.Run(context.Background())
+	return rows, d.Results()
+}
+
+func TestLeaseholderDies(t *testing.T) {
+	f := startFleet(t, "hivecraft")
+	old := holderOf(f, "tbilisi-1")
+	f.Kill(old.Settings.Host)
+	killed := time.Now()
+	err := fleet.Until(15*time.Second, func() error {
+		if holderOf(f, "tbilisi-1", old) == nil {
+			return errors.New("nobody took over")
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("taken over after %v", time.Since(killed).Round(10*time.Millisecond))
+	n := holderOf(f, "tbilisi-1", old)
+	if !n.Daemon.Status().Leased {
+		t.Error("the new leaseholder lost its own lease meanwhile")
+	}
+	if res, body := send(t, n, "POST", "/orders", "{}"); res.StatusCode != http.StatusOK {
+		t.Errorf("an order after the take-over: %d %s", res.StatusCode, body)
+	}
+}
+
+func TestStoreDownForLong(t *testing.T) {
+	f := startFleet(t, "hivecraft")
+	f.Store.SetFaults(store.Faults{Down: true})
+	time.Sleep(f.Timing.MemberLease.Duration() + time.Second)
+	rows, _ := steady(f, 2*time.Second)
+	for _, r := range rows {
+		if r.OnTime != r.Sent {
+			t.Errorf("without the store: %+v", r)
+		}
+	}
+	client := operatorOf(f.Nodes()[0])
+	_, err := client.Patch(context.Background(), 1, daisygap.Patch{ID: "p", Merge: json.RawMessage(`{}`)})
+	if !errors.Is(err, daisygap.ErrNoStore) {
+		t.Errorf("a patch without the store: %v", err)
+	}
+	victim := holderOf(f, "batumi-1")
+	var other *fleet.Node
+	for _, n := range f.Nodes() {
+		if n.Settings.Domain == "batumi-1" && n != victim {
+			other = n
+		}
+	}
+	f.Kill(other.Settings.Host)
+	again, err := f.Start(fleet.Host{Name: other.Settings.Host, Domain: "batumi-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = fleet.Until(10*time.Second, func() error {
+		if again.Daemon.Version() != 1 {
+			return errors.New("no configuration from the neighbours")
+		}
+		return nil
+	})
+	if err != nil {
+		t.Error(err)
+	}
+	f.Store.SetFaults(store.Faults{})
+	if err := f.Ready(40 * time.Second); err != nil {
+		t.Errorf("after the outage: %v", err)
+	}
+}
+
+func TestPlannedStopsCutNothing(t *testing.T) {
+	f := startFleet(t, "hivecraft")
+	var group sync.WaitGroup
+	var rows []caller.Row
+	group.Go(func() { rows, _ = steady(f, 9*time.Second) })
+	time.Sleep(time.Second)
+	for _, n := range []*fleet.Node{holderOf(f, "tbilisi-1"), holderOf(f, "kutaisi-2")} {
+		n.Settings.Linger = 0
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		group.Go(func() {
+			defer cancel()
+			if cut := f.Stop(ctx, n.Settings.Host); cut > 0 {
+				t.Errorf("the stop of %s cut %d requests", n.Settings.Host, cut)
+			}
+		})
+	}
+	group.Wait()
+	for _, r := range rows {
+		if r.Failed > 0 || r.Refused > 0 {
+			t.Errorf("during planned stops: %+v", r)
+		}
+	}
+	for name, u := range f.Upstreams {
+		if r := u.Record(); r.Cut > 0 || r.Shed > 0 || r.Peak > u.Slots {
+			t.Errorf("%s: cut %d, shed %d, %d at once on %d slots", name, r.Cut, r.Shed, r.Peak, u.Slots)
+		}
+	}
+}
+
+func TestPoisonIsHeldBack(t *testing.T) {
+	f := startFleet(t, "hivecraft")
+	f.Document = bytes.Clone(f.Document)
+	client := operatorOf(f.Nodes()[0])
+	merge := json.RawMessage(`{"kinds":{"orders":{"match":[{"path":"/orders"},{"path":"/poison"}]}}}`)
+	if _, err := client.Patch(context.Background(), 1, daisygap.Patch{ID: "p", Merge: merge}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	for i := range 30 {
+		n := f.Nodes()[i%2] // both daemons of one domain
+		before := crashesOf(f)
+		res, _ := send(t, n, "POST", upstream.PoisonPath+"?q=7", "{}")
+		reason := res.Header.Get(daisygap.HeaderReason)
+		if before >= 2 && reason != string(daisygap.ReasonPoisoned) {
+			t.Errorf("request %d was refused as %q after %d crashes", i, reason, before)
+		}
+	}
+	if crashes := crashesOf(f); crashes > 2 {
+		t.Errorf("%d upstreams crashed, want at most 2", crashes)
+	}
+	far := f.Nodes()[len(f.Nodes())-1]
+	err := fleet.Until(10*time.Second, func() error {
+		res, _ := send(t, far, "POST", upstream.PoisonPath+"?q=7", "{}")
+		if reason := res.Header.Get(daisygap.HeaderReason); reason != string(daisygap.ReasonPoisoned) {
+			return fmt.Errorf("refused as %q", reason)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Errorf("in another domain: %v", err)
+	}
+	if res, _ := send(t, f.Nodes()[0], "POST", "/orders", "{}"); res.StatusCode != http.StatusOK {
+		t.Errorf("an innocent order: %d %s", res.StatusCode, res.Header.Get(daisygap.HeaderReason))
+	}
+}
+
+func crashesOf(f *fleet.Fleet) int {
+	n := 0
+	for _, u := range f.Upstreams {
+		n += u.Record().Crashes
+	}
+	return n
+}
+
+func TestTwoOperatorsRace(t *testing.T) {
+	f := startFleet(t, "hivecraft")
+	f.Store.SetFaults(store.Faults{LoseAnswers: 8})
+	nodes := f.Nodes()
+	for base := uint64(1); base <= 5; base++ {
+		versions := make([]uint64, len(nodes))
+		var group sync.WaitGroup
+		for i, n := range nodes {
+			group.Go(func() {
+				merge := json.RawMessage(fmt.Sprintf(`{"lookup":{"ttl":%d}}`, 1_000+i))
+				p := daisygap.Patch{ID: fmt.Sprintf("race-%d-%d", base, i), Merge: merge}
+				if v, err := operatorOf(n).Patch(context.Background(), base, p); err == nil {
+					versions[i] = v
+				}
+			})
+		}
+		group.Wait()
+		won := 0
+		for _, v := range versions {
+			if v > 0 {
+				won++
+			}
+		}
+		if won != 1 {
+			t.Fatalf("%d operators won against version %d", won, base)
+		}
+		err := fleet.Until(8*time.Second, func() error {
+			for _, n := range nodes {
+				if n.Daemon.Version() != base+1 {
+					return fmt.Errorf("%s has version %d, want %d", n.Settings.Host, n.Daemon.Version(), base+1)
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestDomainCutFromStoreLearnsFromOthers(t *testing.T) {
+	f := startFleet(t, "hivecraft")
+	var cut []*fleet.Node
+	for _, n := range f.Nodes() {
+		if n.Settings.Domain == "batumi-2" {
+			f.Store.Cut(n.Settings.Host, true)
+			cut = append(cut, n)
+		}
+	}
+	if _, err := operatorOf(f.Nodes()[0]).Patch(context.Background(), 1, daisygap.Patch{ID: "p", Merge: json.RawMessage(`{}`)}); err != nil && cut[0] != f.Nodes()[0] {
+		t.Fatal(err)
+	}
+	err := fleet.Until(8*time.Second, func() error {
+		for _, n := range cut {
+			if n.Daemon.Version() != 2 {
+				return fmt.Errorf("%s has version %d", n.Settings.Host, n.Daemon.Version())
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+// TestSkew sends one domain's worth of load to one daemon, and compares with a spread run.
+func TestSkew(t *testing.T) {
+	f := startFleet(t, "hivecraft")
+	one := holderOf(f, "tbilisi-1")
+	served := func(targets []string) int {
+		d := &caller.Driver{Targets: targets, Seed: 2, Direct: len(targets) == 1, Flows: []caller.Flow{
+			{Name: "c", Kind: "drawings", Method: "GET", Path: "/drawings", Rate: 400, End: 3 * time.Second, Target: 1_000, Callers: 50, Block: "10.101"},
+		}}
+		rows := d.Run(context.Background())
+		return rows[0].OnTime + rows[0].Late
+	}
+	before := runsIn(f, "tbilisi-1", "drawings")
+	served([]string{one.Settings.Caller})
+	skewed := runsIn(f, "tbilisi-1", "drawings") - before
+	// 2 servers of 3 slots with 30 ms each serve at most 200 a second.
+	if share := float64(skewed) / (3 * 200); share < 0.9 {
+		t.Errorf("one daemon used %.2f of its domain's slots", share)
+	} else {
+		t.Logf("one daemon used %.2f of its domain's slots", share)
+	}
+	for name, u := range f.Upstreams {
+		if r := u.Record(); r.Shed > 0 || r.Peak > u.Slots {
+			t.Errorf("%s: shed %d, %d at once on %d slots", name, r.Shed, r.Peak, u.Slots)
+		}
+	}
+}
+
+func runsIn(f *fleet.Fleet, domain, group string) int {
+	var c daisygap.Configuration
+	_ = json.Unmarshal(f.Document, &c)
+	n := 0
+	for name, u := range c.Upstreams {
+		if u.Domain == domain && u.Group == group {
+			n += len(f.Upstreams[name].Record().Runs)
+		}
+	}
+	return n
+}
--- a/internal/daemon/entry/loans.go
+++ b/internal/daemon/entry/loans.go
@@ -40,6 +40,9 @@
 		case group := <-d.loans.short:
 			if now := d.Clock.Now(); now-last[group] >= loanRound {
 				last[group] = now
+				if p := d.pool(group); p != nil && p.Recallable() {
+					d.recall(group)
+				}
 				d.borrow(group)
 			}
 		case <-ticker.C:
--- a/internal/daemon/entry/operations.go
+++ b/internal/daemon/entry/operations.go
@@ -50,7 +50,9 @@
 		Lost: r.Lost || r.Domain == "", Drained: c.DomainDrained(name), Loads: r.Groups, Give: r.Give,
 	}
 	for _, h := range r.Hosts {
-		s.Hosts = append(s.Hosts, h.Name)
+		if !h.Away {
+			s.Hosts = append(s.Hosts, h.Name)
+		}
 	}
 	if s.Drained {
 		for group := range r.Groups {
--- a/internal/policy/balance/balancer.go
+++ b/internal/policy/balance/balancer.go
@@ -9,12 +9,14 @@
 )
 
 const (
-	latencyWeight  = 0.2
-	failureLimit   = 3
-	ejectFirst     = daisygap.Millis(2_000)
-	ejectLongest   = daisygap.Millis(60_000)
-	coldSlotsRatio = 0.25
-	drainForget    = daisygap.Millis(10_000)
+	latencyWeight = 0.2
+	failureLimit  = 3
+	ejectFirst    = daisygap.Millis(2_000)
+	ejectLongest  = daisygap.Millis(60_000)
+	// An upstream that refuses connections is tried again after this span.
+	unreachableSpan = daisygap.Millis(500)
+	coldSlotsRatio  = 0.25
+	drainForget     = daisygap.Millis(10_000)
 )
 
 // Outcome is how one attempt at an upstream ended.
@@ -25,6 +27,7 @@
 	Succeeded Outcome = iota
 	Shed
 	Broken
+	Unreachable
 	Abandoned
 )
 
@@ -120,7 +123,7 @@
 	if u.signalled > 0 && now < u.signalled+drainForget {
 		return 0
 	}
-	if u.ejections > 0 && u.failures > 0 {
+	if u.failures > 0 && u.ejected > 0 {
 		return 1
 	}
 	age := now - u.warmFrom
@@ -185,6 +188,11 @@
 			u.latency = float64(latency)
 		}
 		u.latency += latencyWeight * (float64(latency) - u.latency)
+	case Unreachable:
+		// Nothing listens there: no bound on how many are left out, but it is tried again soon.
+		u.failures++
+		u.ejected = now + unreachableSpan
+		u.warmFrom = u.ejected
 	case Shed, Broken:
 		u.failures++
 		if outcome == Broken || u.failures >= failureLimit {
@@ -204,7 +212,7 @@
 	return u.drained || (u.signalled > 0 && now < u.signalled+drainForget)
 }
 
-// eject takes an upstream out for a while, unless too large a part of the group is out already.
+// eject takes an upstream out for a while, unless too large a part of the group is out already; one of several may always go.
 func (b *Balancer) eject(u *Upstream, now daisygap.Millis) {
 	out := 0
 	for _, o := range b.list {
@@ -212,7 +220,7 @@
 			out++
 		}
 	}
-	if float64(out+1) > b.Eject*float64(len(b.list)) {
+	if out > 0 && float64(out+1) > b.Eject*float64(len(b.list)) || len(b.list) == 1 {
 		return
 	}
 	u.ejected = now + min(ejectFirst<<min(u.ejections, 8), ejectLongest)
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -215,7 +215,7 @@
 func (f *Fleet) Ready(limit time.Duration) error {
 	return Until(limit, func() error {
 		for _, n := range f.Nodes() {
-			if err := ready(n); err != nil {
+			if err := f.ready(n); err != nil {
 				return err
 			}
 		}
@@ -223,7 +223,7 @@
 	})
 }
 
-func ready(n *Node) error {
+func (f *Fleet) ready(n *Node) error {
 	s := n.Daemon.Status()
 	if !s.Ready {
 		return fmt.Errorf("%s isn't ready: version %d, leased %v, view %+v", s.Host, s.Version, s.Leased, s.View)
@@ -231,9 +231,13 @@
 	if s.View.Next != nil {
 		return fmt.Errorf("%s is in a view change", s.Host)
 	}
+	expected := make(map[string]int)
+	for _, h := range f.Hosts {
+		expected[h.Domain]++
+	}
 	for _, d := range s.Domains {
-		if d.Lost {
-			return fmt.Errorf("%s hasn't heard of %s", s.Host, d.Domain)
+		if d.Lost || len(d.Hosts) != expected[d.Domain] {
+			return fmt.Errorf("%s knows %v in %s (lost: %v)", s.Host, d.Hosts, d.Domain, d.Lost)
 		}
 	}
 	return nil
--- a/operations.go
+++ b/operations.go
@@ -43,8 +43,9 @@
 
 // DomainStatus is one domain as a daemon knows it.
 type DomainStatus struct {
-	Domain  string             `json:"domain"`
-	Region  string             `json:"region"`
+	Domain string `json:"domain"`
+	Region string `json:"region"`
+	// Hosts are the entry hosts that take new work.
 	Hosts   []string           `json:"hosts"`
 	Lost    bool               `json:"lost"`
 	Drained bool               `json:"drained"`
