Control bytes at size: briefer heartbeats, split records, digests by sum

Cause: measured with 86 domains, a leaseholder spent 6.5 KB/s on control; a heartbeat repeated the host and its loads, a record of loads carried 28 hosts, and every exchange listed all records. Change: a heartbeat leaves out what the leaseholder has; hosts and loads are records of their own; an exchange sends one sum and lists records only when the sums differ; a push names its root in place of the whole tree.

--- a/internal/daemon/entry/bench_test.go
+++ b/internal/daemon/entry/bench_test.go
@@ -72,8 +72,11 @@
 	b.Cleanup(front.Close)
 	n := oneDaemon(b, target.Host)
 	for _, way := range []struct{ name, url string }{
-		{"direct", up.URL}, {"reverseproxy", front.URL}, {"daisygap", "http://" + n.Settings.Caller},
-		{"reverseproxy-again", front.URL}, {"daisygap-again", "http://" + n.Settings.Caller},
+		{"direct", up.URL},
+		{"reverseproxy", front.URL},
+		{"daisygap", "http://" + n.Settings.Caller},
+		{"reverseproxy-again", front.URL},
+		{"daisygap-again", "http://" + n.Settings.Caller},
 	} {
 		b.Run(way.name, func(b *testing.B) { drive(b, way.url+"/x") })
 	}
@@ -134,8 +137,10 @@
 	go func() { _ = bare.Serve(l) }()
 	b.Cleanup(func() { _ = bare.Close() })
 	for _, way := range []struct{ name, url string }{
-		{"bare", "http://" + l.Addr().String()}, {"daisygap", "http://" + n.Settings.Caller},
-		{"bare-again", "http://" + l.Addr().String()}, {"daisygap-again", "http://" + n.Settings.Caller},
+		{"bare", "http://" + l.Addr().String()},
+		{"daisygap", "http://" + n.Settings.Caller},
+		{"bare-again", "http://" + l.Addr().String()},
+		{"daisygap-again", "http://" + n.Settings.Caller},
 	} {
 		b.Run(way.name, func(b *testing.B) { drive(b, way.url+path) })
 	}
--- a/internal/daemon/entry/daemon.go
+++ b/internal/daemon/entry/daemon.go
@@ -90,7 +90,7 @@
 // Run starts the control parts; they end when the context does.
 func (d *Daemon) Run(ctx context.Context) {
 	d.ctx = ctx
-	d.incarnation = uuid.NewString()
+	d.incarnation = uuid.NewString()[:incarnationLength]
 	d.self = daisygap.Host{Name: d.Settings.Host, Caller: d.Settings.Caller, Carry: d.Settings.Carry, Peer: d.Settings.Peer}
 	d.reader = caller.Reader{Clock: d.Clock}
 	for _, t := range d.Settings.Trust {
@@ -184,6 +184,9 @@
 	}
 }
 
+// incarnationLength is enough to tell the processes of one host apart.
+const incarnationLength = 13
+
 const tickMillis = daisygap.Millis(20)
 
 // track counts a request in flight; call the result when it ends.
--- a/internal/daemon/entry/gossip.go
+++ b/internal/daemon/entry/gossip.go
@@ -4,7 +4,7 @@
 	"maps"
 	"math"
 	"slices"
-	"sort"
+	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,18 +41,31 @@
 	return r, ok
 }
 
-// snapshot returns all records, with those of lost domains marked.
+// hostsSuffix marks the key of a domain's record of hosts, beside that of its loads.
+const hostsSuffix = "#hosts"
+
+// snapshot returns a record for each domain with its hosts and loads, and with those of lost domains marked.
 func (g *gossip) snapshot() map[string]daisygap.Record {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	records := maps.Clone(g.records)
-	for name, r := range records {
-		r.Lost = g.lost[name]
-		records[name] = r
+	records := make(map[string]daisygap.Record, len(g.records)/2)
+	for key, r := range g.records {
+		if strings.HasSuffix(key, hostsSuffix) {
+			continue
+		}
+		r.Hosts = g.records[key+hostsSuffix].Hosts
+		r.Lost = g.lost[key]
+		records[key] = r
 	}
 	return records
 }
 
+// hostsOf returns the hosts of a domain.
+func (g *gossip) hostsOf(domain string) []daisygap.Host {
+	r, _ := g.get(domain + hostsSuffix)
+	return r.Hosts
+}
+
 // sum is equal on two daemons that hold the same records.
 func (g *gossip) sum() uint64 {
 	g.mu.Lock()
@@ -66,12 +79,22 @@
 	return sum >> 11
 }
 
-func (g *gossip) digest(version uint64) daisygap.Digest {
+// digest returns what this daemon has; with the numbers of all records only when the other side asked for them.
+func (g *gossip) digest(version uint64, full bool) daisygap.Digest {
+	sum := g.sum()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	digest := daisygap.Digest{Version: version, Seen: make(map[string]daisygap.Seen, len(g.records))}
-	for name, r := range g.records {
-		digest.Seen[name] = daisygap.Seen{Seq: r.Seq, Beat: r.Beat}
+	digest := daisygap.Digest{Version: version, Sum: sum, Beats: make(map[string]uint64, len(g.records)/2)}
+	if full {
+		digest.Seqs = make(map[string]uint64, len(g.records))
+	}
+	for key, r := range g.records {
+		if r.Beat > 0 {
+			digest.Beats[key] = r.Beat
+		}
+		if full {
+			digest.Seqs[key] = r.Seq
+		}
 	}
 	return digest
 }
@@ -86,8 +109,8 @@
 		if known && r.Seq <= old.Seq {
 			continue
 		}
-		if r.Domain != own {
-			g.advanced[r.Domain] = now
+		if name := strings.TrimSuffix(r.Domain, hostsSuffix); name != own {
+			g.advanced[name] = now
 		}
 		r.Beat = max(r.Beat, old.Beat)
 		g.records[r.Domain] = r
@@ -97,42 +120,51 @@
 }
 
 // hear notes signs of life of domains.
-func (g *gossip) hear(beats map[string]daisygap.Seen, now daisygap.Millis) {
+func (g *gossip) hear(beats map[string]uint64, now daisygap.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for name, seen := range beats {
+	for name, beat := range beats {
 		r, ok := g.records[name]
-		if !ok || seen.Beat <= r.Beat {
+		if !ok || beat <= r.Beat {
 			continue
 		}
-		r.Beat = seen.Beat
+		r.Beat = beat
 		g.records[name] = r
 		g.advanced[name] = now
 	}
 }
 
-// newer returns what the other side lacks, and the domains of which it has more.
-func (g *gossip) newer(digest daisygap.Digest) (records []daisygap.Record, beats map[string]daisygap.Seen, want []string) {
+// newerBeats returns the signs of life that the other side hasn't heard.
+func (g *gossip) newerBeats(heard map[string]uint64) map[string]uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	beats = make(map[string]daisygap.Seen)
-	for name, r := range g.records {
-		seen := digest.Seen[name]
-		switch {
-		case r.Seq > seen.Seq:
+	beats := make(map[string]uint64)
+	for key, r := range g.records {
+		if r.Beat > heard[key] {
+			beats[key] = r.Beat
+		}
+	}
+	return beats
+}
+
+// newer returns the records that the other side lacks, and the keys of which it has newer ones.
+func (g *gossip) newer(seqs map[string]uint64) (records []daisygap.Record, want []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for key, r := range g.records {
+		switch seq := seqs[key]; {
+		case r.Seq > seq:
 			records = append(records, r)
-		case r.Seq < seen.Seq:
-			want = append(want, name)
-		case r.Beat > seen.Beat:
-			beats[name] = daisygap.Seen{Seq: r.Seq, Beat: r.Beat}
+		case r.Seq < seq:
+			want = append(want, key)
 		}
 	}
-	for name := range digest.Seen {
-		if _, ok := g.records[name]; !ok {
-			want = append(want, name)
+	for key := range seqs {
+		if _, ok := g.records[key]; !ok {
+			want = append(want, key)
 		}
 	}
-	return records, beats, want
+	return records, want
 }
 
 // findLost returns whether the set of lost domains changed.
@@ -141,7 +173,7 @@
 	defer g.mu.Unlock()
 	lost := make(map[string]bool)
 	for name := range g.records {
-		if name != own && now-g.advanced[name] > limit {
+		if name != own && !strings.HasSuffix(name, hostsSuffix) && now-g.advanced[name] > limit {
 			lost[name] = true
 		}
 	}
@@ -200,53 +232,89 @@
 	}
 }
 
-// updateRecord makes the own domain's record from the members' heartbeats, and spreads it when it changed enough.
+// updateRecord makes the own domain's records from the members' heartbeats, and spreads those that changed enough.
 func (d *Daemon) updateRecord() {
 	alive := d.alive()
+	loads, loadsChanged := d.updateLoads(alive)
+	hosts, hostsChanged := d.updateHosts(alive)
+	var push daisygap.Push
+	if loadsChanged {
+		push.Records = append(push.Records, loads)
+	}
+	if hostsChanged {
+		push.Records = append(push.Records, hosts)
+	}
+	if len(push.Records) > 0 {
+		d.replan()
+		d.spread(push)
+	}
+}
+
+func (d *Daemon) updateLoads(alive []contact) (daisygap.Record, bool) {
 	epoch := d.epoch()
 	c := d.config()
+	now := d.Clock.Now()
 	g := &d.gossip
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	old := g.records[d.Settings.Domain]
-	now := d.Clock.Now()
 	next := daisygap.Record{
 		Domain: d.Settings.Domain,
 		Holder: d.self.Peer,
 		Seq:    old.Seq,
 		Beat:   max(old.Beat+1, epoch<<32),
 		Groups: make(map[string]daisygap.Load),
-		Give:   make(map[string]float64),
 		Prints: d.prints.ownBlocked(now),
 	}
-	for _, m := range alive[:min(len(alive), maxHosts)] {
-		next.Hosts = append(next.Hosts, m.host)
-	}
 	for name := range c.Groups {
 		next.Groups[name] = sumLoads(alive, name)
 	}
 	step := c.Lookup.Step * float64(min(now-g.given, 2*d.gossipSpan())) / 1000
 	g.given = now
+	next.Give = gives(c, d.Settings.Domain, old, next, step)
+	changed := g.dirty || old.Seq>>32 != epoch || changedEnough(old, next)
+	if changed {
+		next.Seq = max(old.Seq+1, epoch<<32)
+	} else {
+		next.Groups, next.Give = old.Groups, old.Give
+	}
+	g.dirty = false
+	g.records[d.Settings.Domain] = next
+	return next, changed
+}
+
+// gives moves the parts that the domain gives away by a step.
+func gives(c *daisygap.Configuration, domain string, old, next daisygap.Record, step float64) map[string]float64 {
+	drained := c.DomainDrained(domain)
+	list := make(map[string]float64)
 	for name, load := range next.Groups {
-		if load.Slots == 0 && !c.DomainDrained(d.Settings.Domain) && old.Groups[name].Slots == 0 {
+		if load.Slots == 0 && !drained && old.Groups[name].Slots == 0 {
 			continue
 		}
-		if give := routing.NextGive(old.Give[name], load, c.DomainDrained(d.Settings.Domain), step); give > 0 {
-			next.Give[name] = give
+		if give := routing.NextGive(old.Give[name], load, drained, step); give > 0 {
+			list[name] = give
 		}
 	}
-	changed := g.dirty || old.Seq>>32 != epoch || changedEnough(old, next)
-	if !changed {
-		next.Hosts, next.Groups, next.Give = old.Hosts, old.Groups, old.Give
-	} else {
-		next.Seq = max(old.Seq+1, epoch<<32)
+	return list
+}
+
+func (d *Daemon) updateHosts(alive []contact) (daisygap.Record, bool) {
+	epoch := d.epoch()
+	g := &d.gossip
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	key := d.Settings.Domain + hostsSuffix
+	old := g.records[key]
+	next := daisygap.Record{Domain: key, Seq: old.Seq}
+	for _, m := range alive[:min(len(alive), maxHosts)] {
+		next.Hosts = append(next.Hosts, m.host)
 	}
-	g.dirty = false
-	g.records[d.Settings.Domain] = next
-	g.mu.Unlock()
+	changed := old.Seq>>32 != epoch || !slices.Equal(old.Hosts, next.Hosts)
 	if changed {
-		d.replan()
-		d.spread(daisygap.Push{Records: []daisygap.Record{next}})
+		next.Seq = max(old.Seq+1, epoch<<32)
 	}
+	g.records[key] = next
+	return next, changed
 }
 
 func (d *Daemon) epoch() uint64 {
@@ -268,7 +336,7 @@
 
 // changedEnough spares messages about small changes of load.
 func changedEnough(old, next daisygap.Record) bool {
-	if !slices.Equal(old.Hosts, next.Hosts) || !maps.Equal(old.Give, next.Give) || !slices.Equal(old.Prints, next.Prints) {
+	if old.Holder != next.Holder || !maps.Equal(old.Give, next.Give) || !slices.Equal(old.Prints, next.Prints) {
 		return true
 	}
 	for name, load := range next.Groups {
@@ -314,7 +382,10 @@
 
 // syncWith exchanges what is newer on either side with another daemon.
 func (d *Daemon) syncWith(address string) {
-	delta, err := d.Peers.Sync(d.ctx, address, d.gossip.digest(d.Version()))
+	delta, err := d.Peers.Sync(d.ctx, address, d.gossip.digest(d.Version(), false))
+	if err == nil && delta.Again {
+		delta, err = d.Peers.Sync(d.ctx, address, d.gossip.digest(d.Version(), true))
+	}
 	if err != nil {
 		d.Log.With("gossip").Debugf("exchange failed: %v", err)
 		return
@@ -368,8 +439,15 @@
 func (d *Daemon) ServeSync(digest daisygap.Digest) daisygap.Delta {
 	version := d.Version()
 	delta := daisygap.Delta{Version: version}
-	d.gossip.hear(digest.Seen, d.Clock.Now())
-	delta.Records, delta.Beats, delta.Want = d.gossip.newer(digest)
+	d.gossip.hear(digest.Beats, d.Clock.Now())
+	if digest.Seqs == nil && digest.Sum != d.gossip.sum() {
+		delta.Again = true
+		return delta
+	}
+	delta.Beats = d.gossip.newerBeats(digest.Beats)
+	if digest.Seqs != nil {
+		delta.Records, delta.Want = d.gossip.newer(digest.Seqs)
+	}
 	delta.Patches, delta.Far = d.versions.since(digest.Version, version)
 	return delta
 }
@@ -388,7 +466,7 @@
 	if len(freshRecords) > 0 {
 		d.replan()
 	}
-	if len(p.Order) > 0 {
+	if p.Root != "" {
 		d.passOn(p)
 		return
 	}
@@ -411,38 +489,39 @@
 
 // spread sends a push to the whole domain along a tree with this daemon at its root.
 func (d *Daemon) spread(p daisygap.Push) {
-	p.Order = d.treeOrder()
+	p.Root = d.Settings.Host
 	d.passOn(p)
 }
 
-// treeOrder lists the domain's daemons with this one first.
-func (d *Daemon) treeOrder() []daisygap.Contact {
-	order := []daisygap.Contact{{Name: d.Settings.Host, Peer: d.Settings.Peer}}
-	record, _ := d.gossip.get(d.Settings.Domain)
-	hosts := slices.Clone(record.Hosts)
+// others returns the domain's other daemons in the order of their names.
+func (d *Daemon) others() []daisygap.Host {
+	return slices.DeleteFunc(d.domainHosts(), func(h daisygap.Host) bool { return h.Name == d.Settings.Host })
+}
+
+// domainHosts returns the domain's daemons in the order of their names, as the leaseholder knows them or told.
+func (d *Daemon) domainHosts() []daisygap.Host {
+	hosts := slices.Clone(d.gossip.hostsOf(d.Settings.Domain))
 	if d.IsHolder() {
 		hosts = nil
 		for _, c := range d.alive() {
 			hosts = append(hosts, c.host)
 		}
 	}
-	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Name < hosts[j].Name })
-	for _, h := range hosts {
-		if h.Name != d.Settings.Host {
-			order = append(order, daisygap.Contact{Name: h.Name, Peer: h.Peer})
-		}
-	}
-	return order
+	slices.SortFunc(hosts, func(a, b daisygap.Host) int { return strings.Compare(a.Name, b.Name) })
+	return hosts
 }
 
-// passOn sends a push to this daemon's children in the tree; a child that can't be reached is made up for by its heartbeat.
+// passOn sends a push to this daemon's children in the tree; a daemon that is missed learns by its heartbeat.
 func (d *Daemon) passOn(p daisygap.Push) {
-	place := slices.IndexFunc(p.Order, func(c daisygap.Contact) bool { return c.Name == d.Settings.Host })
-	if place < 0 {
+	hosts := d.domainHosts()
+	root := slices.IndexFunc(hosts, func(h daisygap.Host) bool { return h.Name == p.Root })
+	own := slices.IndexFunc(hosts, func(h daisygap.Host) bool { return h.Name == d.Settings.Host })
+	if root < 0 || own < 0 {
 		return
 	}
-	for i := treeWidth*place + 1; i <= treeWidth*place+treeWidth && i < len(p.Order); i++ {
-		child := p.Order[i].Peer
+	place := (own - root + len(hosts)) % len(hosts)
+	for i := treeWidth*place + 1; i <= treeWidth*place+treeWidth && i < len(hosts); i++ {
+		child := hosts[(root+i)%len(hosts)].Peer
 		d.background(func() {
 			if err := d.Peers.Push(d.ctx, child, p); err != nil {
 				d.Log.With("gossip").Debugf("push failed: %v", err)
--- a/internal/daemon/entry/loans.go
+++ b/internal/daemon/entry/loans.go
@@ -57,7 +57,7 @@
 	if pool == nil {
 		return
 	}
-	for _, c := range d.treeOrder()[1:] {
+	for _, c := range d.others() {
 		want := pool.Wanted()
 		if want == 0 {
 			return
@@ -103,7 +103,7 @@
 
 func (d *Daemon) recall(group string) {
 	call := daisygap.LoanCall{Group: group, Host: d.self.Peer, Recall: true}
-	for _, c := range d.treeOrder()[1:] {
+	for _, c := range d.others() {
 		d.background(func() {
 			if _, err := d.Peers.Loan(d.ctx, c.Peer, call); err != nil {
 				d.Log.With("loan").Debugf("a recall failed: %v", err)
--- a/internal/daemon/entry/membership.go
+++ b/internal/daemon/entry/membership.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,9 @@
 	leader   string
 	failures int
 	contacts map[string]contact
+	// told is what the leaseholder at toldTo has from this daemon.
+	told   daisygap.Beat
+	toldTo string
 
 	// usableUntil is the end of the own lease, or 0, for the path of requests.
 	usableUntil atomic.Int64
@@ -102,7 +106,7 @@
 		return d.Timing.Beat
 	}
 	n := daisygap.Millis(len(d.members.lists()[0]))
-	return min(max(d.Timing.Beat, n*d.Timing.BeatPerMember), d.Timing.MemberLease/4)
+	return min(max(d.Timing.Beat, n*d.Timing.BeatPerMember), d.Timing.MemberLease/3)
 }
 
 func (d *Daemon) runMembership() {
@@ -139,24 +143,52 @@
 	now := d.Clock.Now()
 	view := m.member.View()
 	b := daisygap.Beat{
-		Domain: d.Settings.Domain, Host: d.self, Incarnation: d.incarnation,
+		Domain: d.Settings.Domain, Name: d.Settings.Host, Incarnation: d.incarnation,
 		Epoch: view.Epoch, Seq: view.Seq,
 		Ack:  m.member.Ack(shrunk, now),
 		Held: m.member.Valid(now), Leaving: d.stopping.Load() && d.left.Load(),
 		Version: d.Version(), Sum: d.gossip.sum(),
 		Loads: loads, Totals: d.tally.unsaved(),
 	}
-	b.Host.Away = d.stopping.Load() || !m.member.Valid(now)
-	b.Host.Leaving = d.stopping.Load()
+	host := d.self
+	host.Away = d.stopping.Load() || !m.member.Valid(now)
+	host.Leaving = d.stopping.Load()
+	b.Host = &host
 	return b
 }
 
+// brief leaves out of a heartbeat what the leaseholder was told last.
+func (m *members) brief(b daisygap.Beat, leader string) daisygap.Beat {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.toldTo != leader {
+		return b
+	}
+	if m.told.Host != nil && *m.told.Host == *b.Host {
+		b.Host = nil
+	}
+	if maps.Equal(m.told.Loads, b.Loads) {
+		b.Loads = nil
+	}
+	return b
+}
+
+// noteTold remembers what a leaseholder has now; one that asks for a full heartbeat has nothing.
+func (m *members) noteTold(full daisygap.Beat, leader string, again bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.told, m.toldTo = full, leader
+	if again {
+		m.toldTo = ""
+	}
+}
+
 // beatLeader sends a heartbeat and takes in the answer.
 func (d *Daemon) beatLeader(leader string) {
 	b := d.beat()
 	sent := d.Clock.Now()
-	g, err := d.Peers.Beat(d.ctx, leader, b)
 	m := &d.members
+	g, err := d.Peers.Beat(d.ctx, leader, m.brief(b, leader))
 	if err != nil {
 		m.mu.Lock()
 		m.failures++
@@ -176,6 +208,7 @@
 		d.findLeader()
 		return
 	}
+	m.noteTold(b, leader, g.Again)
 	d.granted(g, sent)
 	d.tally.kept(b.Totals)
 	if g.Version != b.Version || g.Sum != b.Sum {
@@ -264,8 +297,8 @@
 // neighbours returns the peer addresses of the own domain's other daemons, as far as they are known.
 func (d *Daemon) neighbours() []string {
 	var list []string
-	record, ok := d.gossip.get(d.Settings.Domain)
-	if !ok {
+	hosts := d.gossip.hostsOf(d.Settings.Domain)
+	if len(hosts) == 0 {
 		for _, address := range d.Settings.Peers {
 			if address != d.Settings.Peer {
 				list = append(list, address)
@@ -273,7 +306,7 @@
 		}
 		return list
 	}
-	for _, h := range record.Hosts {
+	for _, h := range hosts {
 		if h.Name != d.Settings.Host {
 			list = append(list, h.Peer)
 		}
@@ -474,17 +507,13 @@
 		return daisygap.Grant{Holder: leader}
 	}
 	lease := m.holder.Beat(membership.Heartbeat{
-		Host: b.Host.Name, Incarnation: b.Incarnation, Ack: b.Ack, Leaving: b.Leaving, Held: b.Held,
+		Host: b.Name, Incarnation: b.Incarnation, Ack: b.Ack, Leaving: b.Leaving, Held: b.Held,
 	}, now)
-	g := daisygap.Grant{Span: lease.Span, Epoch: lease.View.Epoch, Lease: lease.Timing.Lease, Longest: lease.Timing.Longest}
+	g := daisygap.Grant{Span: lease.Span, Epoch: lease.View.Epoch}
 	if b.Epoch != lease.View.Epoch || b.Seq != lease.View.Seq {
-		g.View = &lease.View
-	}
-	if b.Leaving {
-		delete(m.contacts, b.Host.Name)
-	} else {
-		m.contacts[b.Host.Name] = contact{host: b.Host, loads: b.Loads, seen: now, version: b.Version}
+		g.View, g.Lease, g.Longest = &lease.View, lease.Timing.Lease, lease.Timing.Longest
 	}
+	g.Again = !m.noteContact(b, now)
 	m.mu.Unlock()
 	d.tally.collect(b.Incarnation, b.Totals)
 	g.Version, g.Sum = d.Version(), d.gossip.sum()
@@ -492,6 +521,27 @@
 	return g
 }
 
+// noteContact keeps what a heartbeat says, and reports whether that is enough to know the member.
+func (m *members) noteContact(b daisygap.Beat, now daisygap.Millis) bool {
+	if b.Leaving {
+		delete(m.contacts, b.Name)
+		return true
+	}
+	c, known := m.contacts[b.Name]
+	if b.Host != nil {
+		c.host = *b.Host
+	}
+	if b.Loads != nil {
+		c.loads = b.Loads
+	}
+	if !known && b.Host == nil {
+		return false
+	}
+	c.seen, c.version = now, b.Version
+	m.contacts[b.Name] = c
+	return true
+}
+
 // alive returns the contacts with a fresh heartbeat in the order of their names, this daemon among them.
 func (d *Daemon) alive() []contact {
 	m := &d.members
--- a/internal/policy/configuration/state_test.go
+++ b/internal/policy/configuration/state_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -196,3 +197,32 @@
 		}
 	}
 }
+
+// BenchmarkSnapshot encodes and decodes a whole version, as a daemon that starts does, and reports the heap that a version holds.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, blocks := range []int{10_000, 100_000, 890_000} {
+		b.Run(fmt.Sprint(blocks), func(b *testing.B) {
+			before := heap()
+			s := fullSize(b, 3_800, blocks)
+			held := heap() - before
+			size := 0
+			for _, part := range Encode(s) {
+				size += len(part)
+			}
+			for b.Loop() {
+				if _, err := Decode(s.Version, Encode(s)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(held)/1e6, "heap-MB")
+			b.ReportMetric(float64(size)/1e6, "snapshot-MB")
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -65,9 +66,11 @@
 	mu    sync.Mutex
 	nodes map[string]*Node
 	cuts  map[string]bool
-	http  *httptest.Server
-	peers []string
-	group sync.WaitGroup
+	// traffic counts control bytes by daemon.
+	traffic map[string]*atomic.Int64
+	http    *httptest.Server
+	peers   []string
+	group   sync.WaitGroup
 }
 
 // Node is one running daemon.
@@ -87,6 +90,7 @@
 	f.Clock = &daisygap.Clock{}
 	f.nodes = make(map[string]*Node)
 	f.cuts = make(map[string]bool)
+	f.traffic = make(map[string]*atomic.Int64)
 	f.Upstreams = make(map[string]*upstream.Server)
 	if f.Timing == (entry.Timing{}) {
 		f.Timing = entry.DefaultTiming()
@@ -161,7 +165,11 @@
 	}
 	n := &Node{Settings: settings}
 	n.client = &peer.Client{Dial: func(ctx context.Context, address string) (net.Conn, error) {
-		return f.dial(ctx, h.Name, address)
+		conn, err := f.dial(ctx, h.Name, address)
+		if err != nil {
+			return nil, err
+		}
+		return counted{Conn: conn, ends: f.ends(h.Name, address)}, nil
 	}}
 	carryDial := func(ctx context.Context, _, address string) (net.Conn, error) { return f.dial(ctx, h.Name, address) }
 	n.carry = upstreamclient.NewClient(nil, carryDial)
@@ -289,6 +297,64 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// counted counts the bytes of a connection between daemons for both of them.
+type counted struct {
+	net.Conn
+	ends [2]*atomic.Int64
+}
+
+// Read counts what arrives.
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.add(n)
+	return n, err
+}
+
+// Write counts what leaves.
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.add(n)
+	return n, err
+}
+
+func (c counted) add(n int) {
+	for _, end := range c.ends {
+		end.Add(int64(n))
+	}
+}
+
+// ends returns the byte counters of the daemon that dials and of the one at an address.
+func (f *Fleet) ends(from, address string) [2]*atomic.Int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := [2]*atomic.Int64{f.counter(from), new(atomic.Int64)}
+	for name, n := range f.nodes {
+		if n.Settings.Peer == address {
+			list[1] = f.counter(name)
+		}
+	}
+	return list
+}
+
+// counter returns the byte counter of a daemon; the caller holds the lock.
+func (f *Fleet) counter(name string) *atomic.Int64 {
+	if f.traffic[name] == nil {
+		f.traffic[name] = new(atomic.Int64)
+	}
+	return f.traffic[name]
+}
+
+// Traffic returns the control bytes that each daemon has sent and received.
+func (f *Fleet) Traffic() map[string]int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make(map[string]int64, len(f.traffic))
+	for name, n := range f.traffic {
+		list[name] = n.Load()
+	}
+	return list
+}
+
 // Kill ends a daemon at once, as a crash does.
 func (f *Fleet) Kill(name string) {
 	n := f.Node(name)
--- a/peer.go
+++ b/peer.go
@@ -16,8 +16,10 @@
 
 // Beat is a daemon's heartbeat to its domain's leaseholder.
 type Beat struct {
-	Domain      string `json:"d"`
-	Host        Host   `json:"h"`
+	Domain string `json:"d"`
+	Name   string `json:"n"`
+	// Host and Loads are left out while they are what the leaseholder was told last.
+	Host        *Host  `json:"h,omitempty"`
 	Incarnation string `json:"i"`
 	// Epoch and Seq name the last view that the daemon heard of.
 	Epoch uint64 `json:"e"`
@@ -37,14 +39,16 @@
 // Grant answers a heartbeat; a span of 0 gives no lease.
 type Grant struct {
 	Span Millis `json:"t"`
-	// Lease is the length of leases, and Longest the longest time that a request may run, as the leaseholder counts.
-	Lease   Millis   `json:"y"`
-	Longest Millis   `json:"x"`
+	// Lease is the length of leases, and Longest the longest time that a request may run, as the leaseholder counts; they come with a view.
+	Lease   Millis   `json:"y,omitempty"`
+	Longest Millis   `json:"x,omitempty"`
 	Epoch   uint64   `json:"e"`
 	View    *View    `json:"w,omitempty"`
 	Version uint64   `json:"v"`
 	Sum     uint64   `json:"m"`
 	Lost    []string `json:"l,omitempty"`
+	// Again asks for a full heartbeat.
+	Again bool `json:"r,omitempty"`
 	// Holder is the address of the leaseholder to ask instead, when the answering daemon isn't it.
 	Holder string `json:"h,omitempty"`
 }
@@ -58,42 +62,38 @@
 	Merge   json.RawMessage `json:"merge"`
 }
 
-// Seen names the newest record of a domain that a daemon has.
-type Seen struct {
-	Seq  uint64 `json:"q"`
-	Beat uint64 `json:"b"`
-}
-
 // Digest tells what a daemon has, so that the other side sends only what is newer.
 type Digest struct {
-	Version uint64          `json:"v"`
-	Seen    map[string]Seen `json:"s"`
+	Version uint64 `json:"v"`
+	// Sum is equal on two daemons with the same records.
+	Sum uint64 `json:"m"`
+	// Beats holds the newest sign of life of each domain.
+	Beats map[string]uint64 `json:"b,omitempty"`
+	// Seqs names the newest record of each key; it is sent when the sums were found to differ.
+	Seqs map[string]uint64 `json:"s,omitempty"`
 }
 
 // Delta is what one side has that is newer than the other's digest.
 type Delta struct {
-	Version uint64          `json:"v"`
-	Patches []Patch         `json:"p,omitempty"`
-	Records []Record        `json:"r,omitempty"`
-	Beats   map[string]Seen `json:"b,omitempty"`
+	Version uint64   `json:"v"`
+	Patches []Patch  `json:"p,omitempty"`
+	Records []Record `json:"r,omitempty"`
+	// Beats holds the newer signs of life.
+	Beats map[string]uint64 `json:"b,omitempty"`
 	// Far tells that the patches no longer reach back; a snapshot is needed.
 	Far bool `json:"f,omitempty"`
-	// Want lists the domains of which the answering side's record is older.
+	// Again asks for a digest with Seqs, since the sums differ.
+	Again bool `json:"a,omitempty"`
+	// Want lists the keys of which the answering side's record is older.
 	Want []string `json:"w,omitempty"`
 }
 
-// Push spreads changes inside a domain along a tree over the hosts in Order.
+// Push spreads changes; with a Root, inside a domain along a tree over its members.
 type Push struct {
-	Patches []Patch   `json:"p,omitempty"`
-	Records []Record  `json:"r,omitempty"`
-	Crashes []Crash   `json:"c,omitempty"`
-	Order   []Contact `json:"o,omitempty"`
-}
-
-// Contact is a daemon's name and peer address.
-type Contact struct {
-	Name string `json:"n"`
-	Peer string `json:"p"`
+	Patches []Patch  `json:"p,omitempty"`
+	Records []Record `json:"r,omitempty"`
+	Crashes []Crash  `json:"c,omitempty"`
+	Root    string   `json:"o,omitempty"`
 }
 
 // Crash reports that a request was running on an upstream when it crashed.
--- a/record.go
+++ b/record.go
@@ -18,20 +18,21 @@
 	Waiting int `json:"w"`
 }
 
-// Record is what a domain tells the others about itself.
+// Record is a part of what a domain tells the others about itself: its hosts or its loads, each with a number of its own.
 type Record struct {
 	Domain string `json:"d"`
 	// Seq grows with every change of the record.
 	Seq uint64 `json:"q"`
 	// Beat grows while the domain's leaseholder lives.
 	Beat uint64 `json:"b"`
+	// Hosts is set in the record of hosts, which changes rarely.
+	Hosts []Host `json:"h,omitempty"`
 	// Holder is the peer address of the domain's leaseholder.
-	Holder string          `json:"o"`
-	Hosts  []Host          `json:"h"`
-	Groups map[string]Load `json:"g"`
+	Holder string          `json:"o,omitempty"`
+	Groups map[string]Load `json:"g,omitempty"`
 	// Give is the part of each group's usual work that should go to other domains, from 0 to 1.
 	Give map[string]float64 `json:"v,omitempty"`
-	// Print lists the fingerprints that the domain holds back.
+	// Prints are the fingerprints that the domain holds back.
 	Prints []uint64 `json:"p,omitempty"`
 	Lost   bool     `json:"-"`
 }
