--- a/internal/adapter/upstream/client_test.go
+++ b/internal/adapter/upstream/client_test.go
@@ -15,7 +15,7 @@
 
 // breaker runs each request, and breaks the connection after the first one on each.
 func breaker(runs *atomic.Int32) *httptest.Server {
-	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		runs.Add(1)
 		if r.Header.Get("Break") != "" {
 			panic(http.ErrAbortHandler)
