--- a/internal/adapter/caller/inbound.go
+++ b/internal/adapter/caller/inbound.go
@@ -33,6 +33,8 @@
 	Address netip.Addr
 	// Origin is the region of the daemon that handed the request over, or "".
 	Origin string
+	// Repeated tells that the caller marked the request as sent before.
+	Repeated bool
 	// Head is the first part of the body; Whole tells that it is all of it.
 	Head  []byte
 	Whole bool
@@ -69,6 +71,9 @@
 	in.Kind = kind
 	in.Request.Kind, in.Request.Rank, in.Request.Repeat = name, kind.Rank, kind.Repeat
 	in.Request.Key = r.Header.Get(daisygap.HeaderKey)
+	if attempt, err := strconv.Atoi(r.Header.Get(daisygap.HeaderAttempt)); err == nil && attempt > 1 {
+		in.Repeated = true
+	}
 	left, problem := deadline(r, kind)
 	if problem != nil {
 		return in, problem
--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -22,6 +22,7 @@
 	methodLoan    = "loan"
 	methodTotals  = "totals"
 	methodMembers = "members"
+	methodOnce    = "once"
 )
 
 const (
@@ -103,6 +104,13 @@
 	return l, err
 }
 
+// Once asks a daemon about an idempotency key.
+func (c *Client) Once(ctx context.Context, address string, call daisygap.OnceCall) (daisygap.OnceAnswer, error) {
+	var a daisygap.OnceAnswer
+	err := c.call(ctx, address, callTimeout, methodOnce, call, &a)
+	return a, err
+}
+
 // Close drops all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/adapter/peer/codec_test.go
@@ -0,0 +1,102 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/goleak"
+
+	"github.com/daisygap/daisygap"
+)
+
+// echo answers every call with what shows that the call arrived whole.
+type echo struct{}
+
+func (echo) ServeBeat(b daisygap.Beat) daisygap.Grant {
+	return daisygap.Grant{Span: 5, Holder: b.Name}
+}
+func (echo) ServeSync(d daisygap.Digest) daisygap.Delta { return daisygap.Delta{Version: d.Version} }
+func (echo) ServePush(daisygap.Push)                    {}
+func (echo) ServePart(v uint64, n int) (daisygap.Part, error) {
+	return daisygap.Part{Version: v, Parts: n}, nil
+}
+func (echo) ServeLoan(c daisygap.LoanCall) daisygap.LoanAnswer {
+	return daisygap.LoanAnswer{Extended: c.Extend}
+}
+func (echo) ServeTotals() []daisygap.Total     { return []daisygap.Total{{Count: 3}} }
+func (echo) ServeMembers() daisygap.MemberList { return daisygap.MemberList{Holder: "h"} }
+func (echo) ServeOnce(c daisygap.OnceCall) daisygap.OnceAnswer {
+	return daisygap.OnceAnswer{Verdict: c.Key}
+}
+
+func TestCalls(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{Service: echo{}}
+	done := make(chan struct{})
+	go func() {
+		s.Run(l)
+		close(done)
+	}()
+	c := &Client{}
+	ctx := context.Background()
+	address := l.Addr().String()
+	grant, err := c.Beat(ctx, address, daisygap.Beat{Name: "a"})
+	if diff := cmp.Diff(daisygap.Grant{Span: 5, Holder: "a"}, grant); err != nil || diff != "" {
+		t.Errorf("beat: %v\n%s", err, diff)
+	}
+	part, err := c.Part(ctx, address, 7, 2)
+	if diff := cmp.Diff(daisygap.Part{Version: 7, Parts: 2}, part); err != nil || diff != "" {
+		t.Errorf("part: %v\n%s", err, diff)
+	}
+	loan, err := c.Loan(ctx, address, daisygap.LoanCall{Extend: []uint64{4}})
+	if diff := cmp.Diff(daisygap.LoanAnswer{Extended: []uint64{4}}, loan); err != nil || diff != "" {
+		t.Errorf("loan: %v\n%s", err, diff)
+	}
+	if err := c.Push(ctx, address, daisygap.Push{}); err != nil {
+		t.Error(err)
+	}
+	_ = l.Close()
+	s.Close()
+	if _, err := c.Beat(ctx, address, daisygap.Beat{}); err == nil {
+		t.Error("a closed server answered")
+	} else if !strings.Contains(err.Error(), "peer beat ("+address+")") {
+		t.Errorf("the error names neither step nor peer: %v", err)
+	}
+	c.Close()
+	<-done
+}
+
+func TestOversizedMessagesAreRefusedUnread(t *testing.T) {
+	var head [4]byte
+	binary.BigEndian.PutUint32(head[:], MaxMessage+1)
+	var r jsonrpc2.Request
+	if err := (codec{}).ReadObject(bufio.NewReader(bytes.NewReader(head[:])), &r); err == nil || !strings.Contains(err.Error(), "over the limit") {
+		t.Errorf("an oversized frame: %v", err)
+	}
+}
+
+func FuzzReadObject(f *testing.F) {
+	var good bytes.Buffer
+	_ = codec{}.WriteObject(&good, map[string]any{"jsonrpc": "2.0", "method": "beat", "params": map[string]any{"n": "a"}})
+	f.Add(good.Bytes())
+	f.Add([]byte{0, 0, 0, 2, '{', '}'})
+	f.Add([]byte{255, 255, 255, 255})
+	s := &Server{Service: echo{}}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var r jsonrpc2.Request
+		if (codec{}).ReadObject(bufio.NewReader(bytes.NewReader(data)), &r) == nil {
+			_, _ = s.handle(context.Background(), nil, &r)
+		}
+	})
+}
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -85,6 +85,8 @@
 		return answer(r, func(c daisygap.LoanCall) (daisygap.LoanAnswer, error) { return s.Service.ServeLoan(c), nil })
 	case methodTotals:
 		return answer(r, func(struct{}) ([]daisygap.Total, error) { return s.Service.ServeTotals(), nil })
+	case methodOnce:
+		return answer(r, func(c daisygap.OnceCall) (daisygap.OnceAnswer, error) { return s.Service.ServeOnce(c), nil })
 	case methodMembers:
 		return answer(r, func(struct{}) (daisygap.MemberList, error) { return s.Service.ServeMembers(), nil })
 	}
--- a/internal/daemon/entry/carry.go
+++ b/internal/daemon/entry/carry.go
@@ -93,6 +93,11 @@
 
 // run tries domains until one answers, a refusal is final, or the retry budget ends.
 func (e *exchange) run() {
+	claimed, duplicate := e.claimKey()
+	if duplicate != nil {
+		e.d.refuse(e.out, duplicate, "a request with this idempotency key was begun before")
+		return
+	}
 	var last attempt
 	for try := 0; ; try++ {
 		a := e.once(last)
@@ -102,6 +107,9 @@
 		}
 		e.maybeRun = e.maybeRun || a.refusal.Run != daisygap.NotRun
 		if !e.mayRetry(a.refusal, try) {
+			if !e.maybeRun {
+				e.release(claimed)
+			}
 			e.refuse(a)
 			return
 		}
--- a/internal/daemon/entry/daemon.go
+++ b/internal/daemon/entry/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/daisygap/daisygap/internal/adapter/upstream"
 	"github.com/daisygap/daisygap/internal/policy/configuration"
 	"github.com/daisygap/daisygap/internal/policy/membership"
+	"github.com/daisygap/daisygap/internal/policy/once"
 	"github.com/daisygap/daisygap/internal/policy/routing"
 )
 
@@ -81,6 +82,7 @@
 	budgets  budgets
 	tally    tally
 	loans    loans
+	ledger   ledger
 
 	replanned chan struct{}
 	randomMu  sync.Mutex
@@ -110,6 +112,7 @@
 	d.gossip.advanced = make(map[string]daisygap.Millis)
 	d.loans.short = make(chan string, 16)
 	d.tally.counts = make(map[tallyKey]int64)
+	d.ledger.ledger = once.Ledger{Self: d.Settings.Host, Started: d.Clock.Now()}
 	d.state.Store(configuration.Empty())
 	pools := make(map[string]*upstream.Pool)
 	d.pools.Store(&pools)
--- a/internal/daemon/entry/fault_test.go
+++ b/internal/daemon/entry/fault_test.go
@@ -179,6 +179,54 @@
 	}
 }
 
+// TestSameKeyAgain sends one key through every daemon: only the first may run, whatever host it comes to.
+func TestSameKeyAgain(t *testing.T) {
+	f := startFleet(t, "hivecraft")
+	before := totalRuns(f)
+	for i, n := range f.Nodes() {
+		res, body := send(t, n, "POST", "/orders", "{}", daisygap.HeaderKey, "one-order", daisygap.HeaderCaller, "10.102.0.9")
+		reason := res.Header.Get(daisygap.HeaderReason)
+		if i == 0 && res.StatusCode != http.StatusOK {
+			t.Fatalf("the first order: %d %s", res.StatusCode, body)
+		}
+		if i > 0 && (reason != string(daisygap.ReasonDuplicate) || res.Header.Get(daisygap.HeaderRun) != string(daisygap.Unknown)) {
+			t.Errorf("the same key at %s: %d %s", n.Settings.Host, res.StatusCode, reason)
+		}
+	}
+	if n := totalRuns(f) - before; n != 1 {
+		t.Errorf("the order ran %d times", n)
+	}
+	for _, n := range f.Nodes() {
+		if n.Settings.Region == "kutaisi" {
+			f.Kill(n.Settings.Host)
+		}
+	}
+	n := f.Nodes()[0]
+	err := fleet.Until(20*time.Second, func() error {
+		res, _ := send(t, n, "POST", "/orders", "{}", daisygap.HeaderKey, "one-order", daisygap.HeaderAttempt, "2", daisygap.HeaderCaller, "10.102.0.9")
+		if reason := res.Header.Get(daisygap.HeaderReason); reason != string(daisygap.ReasonDuplicate) {
+			return fmt.Errorf("status %d, reason %q", res.StatusCode, reason)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Errorf("a marked repeat after the hosts that knew the key are gone: %v", err)
+	}
+	if n := totalRuns(f) - before; n != 1 {
+		t.Errorf("the order ran %d times after the hosts that knew its key were gone", n)
+	}
+}
+
+func totalRuns(f *fleet.Fleet) int {
+	total := 0
+	for _, u := range f.Upstreams {
+		for _, n := range u.Record().Runs {
+			total += n
+		}
+	}
+	return total
+}
+
 func crashesOf(f *fleet.Fleet) int {
 	n := 0
 	for _, u := range f.Upstreams {
--- a/internal/daemon/entry/plan.go
+++ b/internal/daemon/entry/plan.go
@@ -48,6 +48,7 @@
 	d.planLinks(state, lists)
 	d.budgets.set(state.Config)
 	world := routing.NewWorld(state, d.gossip.snapshot())
+	d.planOnce(world)
 	d.world.Store(world)
 	d.table.Store(routing.NewTable(world))
 	if d.state.Load() != state {
--- a/internal/policy/routing/choose.go
+++ b/internal/policy/routing/choose.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 
 	"github.com/daisygap/daisygap"
 )
@@ -70,6 +72,23 @@
 	return fallback, fallback.Domain != ""
 }
 
+// KeyHosts returns, in the order of their names, the hosts that remember idempotency keys of a kind from a region: those of the nearest region that serves the kind.
+func (w *World) KeyHosts(region, kind string) []daisygap.Host {
+	for _, near := range w.order[region] {
+		var hosts []daisygap.Host
+		for _, d := range w.domains[near] {
+			if _, ok := w.usable(d, kind); ok {
+				hosts = append(hosts, w.live[d]...)
+			}
+		}
+		if len(hosts) > 0 {
+			slices.SortFunc(hosts, func(a, b daisygap.Host) int { return strings.Compare(a.Name, b.Name) })
+			return hosts
+		}
+	}
+	return nil
+}
+
 // Closed tells whether a drained domain has given all of a group's work away.
 func (w *World) Closed(domain, group string) bool {
 	return w.State.Config.DomainDrained(domain) && w.Records[domain].Give[group] >= 1
--- a/peer.go
+++ b/peer.go
@@ -127,6 +127,19 @@
 	Extended []uint64 `json:"e,omitempty"`
 }
 
+// OnceCall asks a daemon to remember the idempotency key of a request, or to forget one that was not run.
+type OnceCall struct {
+	Scope  string `json:"s"`
+	Key    string `json:"k"`
+	Repeat bool   `json:"r,omitempty"`
+	End    bool   `json:"e,omitempty"`
+}
+
+// OnceAnswer holds the verdict on a key.
+type OnceAnswer struct {
+	Verdict string `json:"v"`
+}
+
 // Part is one piece of a configuration snapshot.
 type Part struct {
 	Version uint64 `json:"v"`
@@ -153,6 +166,7 @@
 	Loan(ctx context.Context, address string, c LoanCall) (LoanAnswer, error)
 	Totals(ctx context.Context, address string) ([]Total, error)
 	Members(ctx context.Context, address string) (MemberList, error)
+	Once(ctx context.Context, address string, c OnceCall) (OnceAnswer, error)
 }
 
 // PeerService answers the calls of other daemons.
@@ -164,4 +178,5 @@
 	ServeLoan(c LoanCall) LoanAnswer
 	ServeTotals() []Total
 	ServeMembers() MemberList
+	ServeOnce(c OnceCall) OnceAnswer
 }
