Lost regions and full links: backups elsewhere, hosts known to be down, early link refusals

Cause: killing a region's daemons at 70 % load failed 2572 of its 7064 orders: every host that a look-up named lay in the region, and other daemons went on handing work to dead hosts until their records said so. Slow senders are refused after 5 s.

--- a/internal/adapter/peer/codec_test.go
+++ b/internal/adapter/peer/codec_test.go
@@ -22,11 +22,13 @@
 func (echo) ServeBeat(b daisygap.Beat) daisygap.Grant {
 	return daisygap.Grant{Span: 5, Holder: b.Name}
 }
+
 func (echo) ServeSync(d daisygap.Digest) daisygap.Delta { return daisygap.Delta{Version: d.Version} }
 func (echo) ServePush(daisygap.Push)                    {}
 func (echo) ServePart(v uint64, n int) (daisygap.Part, error) {
 	return daisygap.Part{Version: v, Parts: n}, nil
 }
+
 func (echo) ServeLoan(c daisygap.LoanCall) daisygap.LoanAnswer {
 	return daisygap.LoanAnswer{Extended: c.Extend}
 }
--- a/internal/daemon/entry/carry.go
+++ b/internal/daemon/entry/carry.go
@@ -25,6 +25,8 @@
 	// Upstreams of the own domain that are tried before another domain is.
 	localTries = 2
 	copyBuffer = 32 << 10
+	// headTimeout is how long a caller may take to send the first part of a body.
+	headTimeout = 5 * time.Second
 )
 
 // exchange is one request on its way through this daemon.
@@ -67,6 +69,8 @@
 	defer d.track()()
 	started := d.Clock.Now()
 	r.Body = http.MaxBytesReader(w, r.Body, caller.MaxBody)
+	control := http.NewResponseController(w)
+	d.limitReading(control, time.Now().Add(headTimeout))
 	in, problem := d.reader.Read(d.config(), r, hop)
 	switch {
 	case d.world.Load() == nil:
@@ -80,6 +84,11 @@
 		return
 	}
 	left := in.Request.Deadline - d.Clock.Now()
+	if in.Whole {
+		d.limitReading(control, time.Time{})
+	} else {
+		d.limitReading(control, time.Now().Add(left.Duration()))
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), left.Duration())
 	defer cancel()
 	if !hop {
@@ -91,6 +100,13 @@
 	metrics.GetOrCreateHistogram(name).Update(float64(d.Clock.Now()-started) / 1000)
 }
 
+// limitReading bounds how long a slow sender may take; the zero time ends the bound.
+func (d *Daemon) limitReading(control *http.ResponseController, until time.Time) {
+	if err := control.SetReadDeadline(until); err != nil {
+		d.Log.With("caller").Debugf("no read deadline: %v", err)
+	}
+}
+
 // run tries domains until one answers, a refusal is final, or the retry budget ends.
 func (e *exchange) run() {
 	claimed, duplicate := e.claimKey()
@@ -165,6 +181,7 @@
 		OwnUsable: d.usable() && pool != nil, OwnPressure: pressure,
 		Tried:    e.tried,
 		LinkWait: func(region string) daisygap.Millis { return d.links.backlog(region, e.in.Request.Rank) },
+		Down:     d.down.has(d.Clock),
 		Now:      d.Clock.Now(),
 		Random:   rand.New(rand.NewPCG(rand.Uint64(), 0)),
 	})
@@ -196,12 +213,18 @@
 	if e.sent && !e.in.Whole {
 		return false
 	}
-	return e.d.budgets.take(e.in.Request.Kind)
+	// A request that could not be sent at all has cost its peers nothing.
+	free := r.Reason == daisygap.ReasonUnreachable && r.Run == daisygap.NotRun
+	return free || e.d.budgets.take(e.in.Request.Kind)
 }
 
 // serveHere admits the request to an upstream of the own domain and sends it there.
 func (e *exchange) serveHere() attempt {
 	d := e.d
+	if wait := e.answerWait(); wait > e.left() {
+		e.tried[d.Settings.Domain] = true
+		return attempt{refusal: e.refusal(daisygap.ReasonLinkFull, daisygap.NotRun, daisygap.Figures{Wait: wait, Left: e.left()})}
+	}
 	pool := d.pool(d.config().GroupOf(e.in.Request.Kind))
 	slot, denial := pool.Acquire(e.ctx, e.in.Request)
 	if denial != nil {
@@ -298,6 +321,9 @@
 	run := daisygap.Unknown
 	if errors.Is(err, upstream.ErrNotSent) {
 		run = daisygap.NotRun
+		d.down.add(choice.Host.Name, d.Clock.Now())
+		// Another host of the domain may still be there.
+		delete(e.tried, choice.Domain)
 	}
 	reason := daisygap.ReasonUnreachable
 	if e.ctx.Err() != nil {
@@ -360,6 +386,15 @@
 	return e.d.Settings.Region
 }
 
+// answerWait returns how long the first bytes of an answer would wait on a link.
+func (e *exchange) answerWait() daisygap.Millis {
+	region := e.answerRegion()
+	if region == e.d.Settings.Region {
+		return 0
+	}
+	return e.d.links.backlog(region, e.in.Request.Rank)
+}
+
 var buffers = sync.Pool{New: func() any {
 	b := make([]byte, copyBuffer)
 	return &b
--- a/internal/daemon/entry/daemon.go
+++ b/internal/daemon/entry/daemon.go
@@ -83,6 +83,7 @@
 	tally    tally
 	loans    loans
 	ledger   ledger
+	down     down
 
 	replanned chan struct{}
 	randomMu  sync.Mutex
--- a/internal/daemon/entry/fault_test.go
+++ b/internal/daemon/entry/fault_test.go
@@ -1,11 +1,13 @@
 package entry_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -179,6 +181,48 @@
 	}
 }
 
+// TestSlowSenderHoldsNothing sends half a body and waits.
+func TestSlowSenderHoldsNothing(t *testing.T) {
+	f := startFleet(t, "hivecraft")
+	n := f.Nodes()[0]
+	conn, err := net.Dial("tcp", n.Settings.Caller)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf")
+	if err := conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer within 10 s: %v", err)
+	}
+	defer res.Body.Close()
+	if reason := res.Header.Get(daisygap.HeaderReason); reason != string(daisygap.ReasonBadRequest) {
+		t.Errorf("status %d, reason %q, want bad_request", res.StatusCode, reason)
+	}
+}
+
+// TestSmuggledLengths sends two lengths that differ.
+func TestSmuggledLengths(t *testing.T) {
+	f := startFleet(t, "hivecraft")
+	conn, err := net.Dial("tcp", f.Nodes()[0].Settings.Caller)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nContent-Length: 30\r\n\r\n{}")
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusBadRequest {
+		t.Errorf("status %d, want 400", res.StatusCode)
+	}
+}
+
 // TestSameKeyAgain sends one key through every daemon: only the first may run, whatever host it comes to.
 func TestSameKeyAgain(t *testing.T) {
 	f := startFleet(t, "hivecraft")
--- /dev/null
+++ b/internal/daemon/entry/move_test.go
@@ -0,0 +1,168 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/standin/caller"
+	"github.com/daisygap/daisygap/internal/standin/fleet"
+)
+
+// overloads reports every upstream that was ever sent more than its slots.
+func overloads(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	for name, u := range f.Upstreams {
+		if r := u.Record(); r.Shed > 0 || r.Peak > u.Slots {
+			t.Errorf("%s: shed %d, %d at once on %d slots", name, r.Shed, r.Peak, u.Slots)
+		}
+	}
+}
+
+// TestRegionLost kills a region's daemons while all slots for orders are 70 % busy.
+func TestRegionLost(t *testing.T) {
+	f := startFleet(t, "hivecraft")
+	const capacity = 12 * 5 * 1000 / 20 // servers, slots, service of 20 ms
+	var flows []caller.Flow
+	for i := range 3 {
+		flows = append(flows, caller.Flow{
+			Name: fmt.Sprint("once-", i), Kind: "orders", Method: "POST", Path: "/orders", Body: "{}",
+			Rate: 0.7 * capacity / 3, End: 10 * time.Second, Target: 2_000, Callers: 30, Block: fmt.Sprintf("10.%d", 101+i),
+		})
+	}
+	var group sync.WaitGroup
+	var rows []caller.Row
+	group.Go(func() {
+		d := &caller.Driver{Targets: addresses(f)[:8], Seed: 1, Flows: flows}
+		rows = d.Run(context.Background())
+	})
+	time.Sleep(3 * time.Second)
+	for _, n := range f.Nodes() {
+		if n.Settings.Region == "tbilisi" {
+			f.Kill(n.Settings.Host)
+		}
+	}
+	group.Wait()
+	overloads(t, f)
+	for _, r := range rows {
+		t.Logf("%s: sent %d, on time %d, late %d, refused %d, failed %d, %v", r.Flow, r.Sent, r.OnTime, r.Late, r.Refused, r.Failed, r.Reasons)
+		if r.Sent != r.OnTime+r.Late+r.Refused+r.Failed {
+			t.Errorf("%s: not every request is accounted for", r.Flow)
+		}
+	}
+}
+
+// TestDomainDrain drains a domain under load: its work moves by steps, nothing is cut, and its upstreams come to rest.
+func TestDomainDrain(t *testing.T) {
+	f := startFleet(t, "hivecraft")
+	var group sync.WaitGroup
+	var rows []caller.Row
+	group.Go(func() { rows, _ = steady(f, 16*time.Second) })
+	time.Sleep(2 * time.Second)
+	committed := f.Clock.Now()
+	_, err := operatorOf(f.Nodes()[0]).Patch(context.Background(), 1, daisygap.Patch{ID: "p", Merge: json.RawMessage(`{"drains":{"domains":{"tbilisi-1":true}}}`)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	group.Wait()
+	var c daisygap.Configuration
+	_ = json.Unmarshal(f.Document, &c)
+	last := daisygap.Millis(0)
+	for name, u := range f.Upstreams {
+		r := u.Record()
+		if r.Cut > 0 {
+			t.Errorf("%s: %d requests were cut", name, r.Cut)
+		}
+		if c.Upstreams[name].Domain == "tbilisi-1" {
+			last = max(last, r.Last-committed)
+		}
+	}
+	overloads(t, f)
+	for _, r := range rows {
+		if r.Failed > 0 {
+			t.Errorf("during the drain: %+v", r)
+		}
+	}
+	t.Logf("last start at the domain %d ms after the commit; the step is 0.2 a second", last)
+	if last > 12_000 {
+		t.Errorf("the domain still got new work %d ms after the commit", last)
+	}
+}
+
+// TestLinkSaturated sends downloads over a link until it is full, with orders beside them.
+func TestLinkSaturated(t *testing.T) {
+	f := startFleet(t, "capsula")
+	var targets []string
+	for _, n := range f.Nodes() {
+		if n.Settings.Region == "lima" {
+			targets = append(targets, n.Settings.Caller)
+		}
+	}
+	const span = 6 * time.Second
+	const rate = 2_000_000
+	merge := json.RawMessage(`{"links":{"lima>arequipa":{"rate":2000000}}}`)
+	if _, err := operatorOf(f.Nodes()[0]).Patch(context.Background(), 1, daisygap.Patch{ID: "p", Merge: merge}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	run := func(flows ...caller.Flow) []caller.Row {
+		var group sync.WaitGroup
+		rows := make([][]caller.Row, len(targets))
+		for i, target := range targets {
+			group.Go(func() {
+				d := &caller.Driver{Targets: []string{target}, Direct: true, Seed: uint64(i), Flows: flows}
+				rows[i] = d.Run(context.Background())
+			})
+		}
+		group.Wait()
+		return rows[0]
+	}
+	urgent := caller.Flow{Name: "once", Kind: "bookings", Method: "POST", Path: "/bookings", Body: "{}", Rate: 25, End: span, Target: 2_000, Callers: 10, Block: "10.112"}
+	idle := run(urgent)
+	flood := caller.Flow{Name: "media", Kind: "media", Rank: daisygap.Background, Method: "GET", Path: "/media", Rate: 100, End: span, Target: 3_000, Callers: 50, Block: "10.112"}
+	stop := make(chan struct{})
+	var most, mean float64
+	var group sync.WaitGroup
+	group.Go(func() { most, mean = watchLink("arequipa", stop) })
+	urgent.Name = "again" // other idempotency keys
+	busy := run(urgent, flood)
+	close(stop)
+	group.Wait()
+	t.Logf("link: most in 100 ms %.3f of the cap, mean %.3f; urgent p99 %.1f ms beside %.1f ms on an idle link, %d of %d on time",
+		most/rate, mean/rate, busy[0].P99, idle[0].P99, busy[0].OnTime, busy[0].Sent)
+	if most > rate {
+		t.Errorf("the link carried %.0f bytes a second in a window of 100 ms, its cap is %d", most, rate)
+	}
+	overloads(t, f)
+}
+
+// watchLink returns the highest rate over windows of 100 ms and the mean from the second to the fifth second, in bytes a second.
+func watchLink(to string, stop chan struct{}) (most, mean float64) {
+	counter := metrics.GetOrCreateCounter(`daisygap_link_bytes_total{to="` + to + `"}`)
+	before, at := counter.Get(), time.Now()
+	start, full, from := at, uint64(0), time.Time{}
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return most, mean
+		case <-ticker.C:
+		}
+		bytes, now := counter.Get(), time.Now()
+		most = max(most, float64(bytes-before)/now.Sub(at).Seconds())
+		before, at = bytes, now
+		switch {
+		case now.Sub(start) < time.Second:
+			full, from = bytes, now
+		case now.Sub(start) < 5*time.Second:
+			mean = float64(bytes-full) / now.Sub(from).Seconds()
+		}
+	}
+}
--- a/internal/policy/routing/choose.go
+++ b/internal/policy/routing/choose.go
@@ -27,8 +27,10 @@
 	Tried       map[string]bool
 	// LinkWait returns how long bytes of the request's rank would wait on the link to a region.
 	LinkWait func(region string) daisygap.Millis
-	Now      daisygap.Millis
-	Random   *rand.Rand
+	// Down tells that a host could not be reached a moment ago.
+	Down   func(host string) bool
+	Now    daisygap.Millis
+	Random *rand.Rand
 }
 
 // Least time that must be left for a hop to another region to make sense.
@@ -99,6 +101,17 @@
 	return w.State.Config.DomainDrained(q.Self) && q.Random.Float64() < w.Records[q.Self].Give[group]
 }
 
+// pickHost returns one of some hosts at random that is not known to be down.
+func (q *Query) pickHost(hosts []daisygap.Host) (daisygap.Host, bool) {
+	start := q.Random.IntN(len(hosts))
+	for i := range hosts {
+		if h := hosts[(start+i)%len(hosts)]; h.Name != q.Host && !q.Down(h.Name) {
+			return h, true
+		}
+	}
+	return daisygap.Host{}, false
+}
+
 // sibling returns another daemon of the own domain, for a daemon that may not use its own share.
 func (w *World) sibling(q Query, group string) (Choice, bool) {
 	if q.OwnUsable || q.Tried[q.Self] || w.Closed(q.Self, group) {
@@ -107,16 +120,8 @@
 	if _, ok := w.usable(q.Self, q.Request.Kind); !ok {
 		return Choice{}, false
 	}
-	var others []daisygap.Host
-	for _, h := range w.live[q.Self] {
-		if h.Name != q.Host {
-			others = append(others, h)
-		}
-	}
-	if len(others) == 0 {
-		return Choice{}, false
-	}
-	return Choice{Domain: q.Self, Host: others[q.Random.IntN(len(others))]}, true
+	host, ok := q.pickHost(w.live[q.Self])
+	return Choice{Domain: q.Self, Host: host}, ok
 }
 
 func (w *World) reachableInTime(q Query, region string) bool {
@@ -141,9 +146,11 @@
 			continue
 		}
 		p := Pressure(load)
-		if best.Domain == "" || p < lowest {
-			hosts := w.live[d]
-			best = Choice{Domain: d, Host: hosts[q.Random.IntN(len(hosts))]}
+		if best.Domain != "" && p >= lowest {
+			continue
+		}
+		if host, ok := q.pickHost(w.live[d]); ok {
+			best = Choice{Domain: d, Host: host}
 			lowest = p
 		}
 	}
--- a/internal/policy/routing/routing_test.go
+++ b/internal/policy/routing/routing_test.go
@@ -175,6 +175,7 @@
 			if q.Request == nil {
 				q.Request = &daisygap.Request{Kind: "orders", Deadline: far}
 			}
+			q.Down = func(string) bool { return false }
 			if q.LinkWait == nil {
 				q.LinkWait = func(string) daisygap.Millis { return 0 }
 			}
@@ -270,7 +271,7 @@
 	w := world(b, "", nil)
 	q := Query{
 		Request: &daisygap.Request{Kind: "orders", Deadline: 5_000}, Self: "tbilisi-1", Host: "tbilisi-1-a", Region: "tbilisi",
-		OwnUsable: true, LinkWait: func(string) daisygap.Millis { return 0 }, Random: rand.New(rand.NewPCG(1, 1)),
+		OwnUsable: true, LinkWait: func(string) daisygap.Millis { return 0 }, Down: func(string) bool { return false }, Random: rand.New(rand.NewPCG(1, 1)),
 	}
 	b.Run("own", func(b *testing.B) {
 		b.ReportAllocs()
--- a/internal/policy/routing/table.go
+++ b/internal/policy/routing/table.go
@@ -121,18 +121,23 @@
 	return c
 }
 
-// backup returns the domain that a caller should turn to when it reaches no host of the first one: the next of the split, else the nearest other.
+// backup returns the domain that a caller should turn to when it reaches no host of the first one: the nearest of another region, since a region may fail as a whole, else the next of the split.
 func (w *World) backup(split []Weighted, i int, region, kind string) string {
-	if len(split) > 1 {
-		return split[(i+1)%len(split)].Domain
-	}
+	first := split[i].Domain
+	home := w.State.Config.Domains[first].Region
 	for _, near := range w.order[region] {
+		if near == home {
+			continue
+		}
 		for _, d := range w.domains[near] {
-			if _, ok := w.usable(d, kind); ok && d != split[i].Domain {
+			if _, ok := w.usable(d, kind); ok {
 				return d
 			}
 		}
 	}
+	if len(split) > 1 {
+		return split[(i+1)%len(split)].Domain
+	}
 	return ""
 }
 
