Worth within a rank; one job a file in the daemon

Change: kinds of one rank yield in the order of their worth, above their floors. Conclusion: no behaviour but the order within a rank changed.

--- /dev/null
+++ b/internal/daemon/entry/answer.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/policy/balance"
+)
+
+// deliver passes an answer on; a body that breaks off ends in a broken connection, never in a clean end.
+func (e *exchange) deliver(a attempt) {
+	defer closeBody(a.response)
+	h := e.out.Header()
+	copyHeader(h, a.response.Header)
+	h.Set(daisygap.HeaderID, e.in.Request.ID)
+	h.Set(daisygap.HeaderHost, e.d.Settings.Host)
+	e.out.WriteHeader(a.response.StatusCode)
+	readErr, writeErr := e.copyBody(a.response)
+	switch {
+	case readErr == nil && writeErr == nil:
+		a.finish(balance.Succeeded)
+		return
+	case writeErr != nil || e.ctx.Err() != nil:
+		a.finish(balance.Abandoned)
+	default:
+		a.finish(balance.Broken)
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`daisygap_broken_answers_total{kind=%q}`, e.in.Request.Kind)).Inc()
+	panic(http.ErrAbortHandler)
+}
+
+// answerRegion is where the answer's bytes go: to the daemon that handed the request over, else to the caller's block.
+func (e *exchange) answerRegion() string {
+	if e.in.Origin != "" {
+		return e.in.Origin
+	}
+	if table := e.d.table.Load(); table != nil {
+		return table.RegionOf(e.in.Address)
+	}
+	return e.d.Settings.Region
+}
+
+// answerWait returns how long the first bytes of an answer would wait on a link.
+func (e *exchange) answerWait() daisygap.Millis {
+	region := e.answerRegion()
+	if region == e.d.Settings.Region {
+		return 0
+	}
+	return e.d.links.backlog(region, e.in.Request.Rank)
+}
+
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, copyBuffer)
+	return &b
+}}
+
+// copyBody streams the answer with a bounded buffer, paced where it crosses a link.
+func (e *exchange) copyBody(res *http.Response) (readErr, writeErr error) {
+	var out io.Writer = e.out
+	if region := e.answerRegion(); region != e.d.Settings.Region {
+		if p := e.d.links.to(region); p != nil {
+			out = &pacedWriter{ctx: e.ctx, out: e.out, pacer: p, clock: e.d.Clock, rank: e.in.Request.Rank}
+		}
+	}
+	control := http.NewResponseController(e.out)
+	deadline := time.Now().Add(max(e.left(), 0).Duration())
+	if err := control.SetWriteDeadline(deadline); err != nil {
+		e.d.Log.With("caller").Debugf("no write deadline: %v", err)
+	}
+	pooled := buffers.Get().(*[]byte)
+	defer buffers.Put(pooled)
+	buffer := *pooled
+	for {
+		n, err := res.Body.Read(buffer)
+		if n > 0 {
+			if _, writeErr = out.Write(buffer[:n]); writeErr != nil {
+				return nil, writeErr
+			}
+			if res.ContentLength < 0 {
+				_ = control.Flush()
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil, control.SetWriteDeadline(time.Time{})
+		}
+		if err != nil {
+			return err, nil
+		}
+	}
+}
+
+// refuse writes a refusal, or passes on the one that another daemon issued if it is true of all attempts.
+func (e *exchange) refuse(a attempt) {
+	if e.maybeRun && a.refusal.Run == daisygap.NotRun {
+		a.refusal.Run = daisygap.Unknown
+		e.discard(a)
+		a.sealed = nil
+	}
+	if a.sealed == nil {
+		if e.in.Request.Hop == 0 {
+			e.d.count(a.refusal)
+		}
+		e.d.writeRefusal(e.out, a.refusal, "")
+		return
+	}
+	defer closeBody(a.sealed)
+	e.d.count(a.refusal)
+	copyHeader(e.out.Header(), a.sealed.Header)
+	e.out.WriteHeader(a.sealed.StatusCode)
+	if _, err := io.Copy(e.out, a.sealed.Body); err != nil {
+		e.d.Log.With("caller").Debugf("a refusal wasn't delivered: %v", err)
+	}
+}
+
+func (e *exchange) discard(a attempt) {
+	if a.sealed != nil {
+		closeBody(a.sealed)
+	}
+}
+
+func closeBody(res *http.Response) {
+	_ = res.Body.Close()
+}
--- a/internal/daemon/entry/plan.go
+++ b/internal/daemon/entry/plan.go
@@ -91,7 +91,7 @@
 	var list []admission.Rule
 	for _, name := range g.Kinds {
 		k := c.Kinds[name]
-		list = append(list, admission.Rule{Name: name, Rank: k.Rank, Floor: k.Floor, Queue: k.Queue})
+		list = append(list, admission.Rule{Name: name, Rank: k.Rank, Floor: k.Floor, Worth: k.Worth, Queue: k.Queue})
 	}
 	return list
 }
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -18,6 +18,8 @@
 	Name  string
 	Rank  daisygap.Rank
 	Floor float64
+	// Worth orders kinds of one rank; the one worth less yields first.
+	Worth float64
 	Queue int
 }
 
@@ -87,7 +89,11 @@
 		q.kinds = append(q.kinds, k)
 	}
 	sort.SliceStable(q.kinds, func(i, j int) bool {
-		return q.kinds[i].rule.Rank < q.kinds[j].rule.Rank
+		a, b := q.kinds[i].rule, q.kinds[j].rule
+		if a.Rank != b.Rank {
+			return a.Rank < b.Rank
+		}
+		return a.Worth > b.Worth
 	})
 	var orphans []*Item
 	for name, k := range old {
--- a/internal/policy/admission/queue_test.go
+++ b/internal/policy/admission/queue_test.go
@@ -125,6 +125,22 @@
 	}
 }
 
+func TestLessWorthYieldsFirst(t *testing.T) {
+	b := newBench([]Rule{
+		{Name: "cheap", Rank: daisygap.Normal, Worth: 1, Floor: 0.2, Queue: 50},
+		{Name: "dear", Rank: daisygap.Normal, Worth: 5, Queue: 50},
+	}, 10, 50)
+	for range 5_000 {
+		b.offer("cheap", "c", 2_000)
+		b.offer("dear", "d", 2_000)
+		b.tick()
+	}
+	part := float64(b.served["cheap"]) / float64(b.served["cheap"]+b.served["dear"])
+	if part < 0.19 || part > 0.25 {
+		t.Errorf("the kind that is worth less got %.2f of the slots, want its floor of 0.20", part)
+	}
+}
+
 func TestFairnessAmongCallers(t *testing.T) {
 	b := newBench(threeRanks, 4, 20)
 	for range 4_000 {
--- a/internal/policy/configuration/check.go
+++ b/internal/policy/configuration/check.go
@@ -120,6 +120,8 @@
 		return wrong(field+".most", fmt.Sprintf("milliseconds from the target to %d", maxDeadline), k.Most)
 	case k.Floor < 0 || k.Floor > 1:
 		return wrong(field+".floor", "a part from 0 to 1", k.Floor)
+	case k.Worth < 0:
+		return wrong(field+".worth", "a number from 0", k.Worth)
 	case k.Queue < 1 || k.Queue > 100_000:
 		return wrong(field+".queue", "a number of requests from 1 to 100000", k.Queue)
 	case k.Retry < 0 || k.Retry > 1:
