Refusal totals survive a leaseholder's loss

Cause: counts that only the leaseholder had, up to ten seconds' worth, were lost with it, and members took them for kept. Change: the leaseholder spreads its own counts in the domain; members send their open counts again to a new leaseholder. Counts grow by incarnation, so repeats change nothing. Figures: ten refusals at both daemons of a domain, the leaseholder killed before its first write: ten are known afterwards.

--- a/internal/daemon/entry/fault_test.go
+++ b/internal/daemon/entry/fault_test.go
@@ -181,6 +181,42 @@
 	}
 }
 
+// TestTotalsSurviveAnyHost refuses requests at both daemons of a domain, and kills its leaseholder before it has written them to the store.
+func TestTotalsSurviveAnyHost(t *testing.T) {
+	f := startFleet(t, "hivecraft")
+	holder := holderOf(f, "tbilisi-1")
+	for _, n := range f.Nodes() {
+		if n.Settings.Domain != "tbilisi-1" {
+			continue
+		}
+		for range 5 {
+			send(t, n, "GET", "/nothing", "")
+		}
+	}
+	time.Sleep(3 * f.Timing.Beat.Duration())
+	f.Kill(holder.Settings.Host)
+	client := operatorOf(holderOf(f, "batumi-1"))
+	err := fleet.Until(15*time.Second, func() error {
+		totals, _, err := client.Totals(context.Background())
+		if err != nil {
+			return err
+		}
+		count := int64(0)
+		for _, total := range totals {
+			if total.Domain == "tbilisi-1" && total.Reason == daisygap.ReasonUnknownKind {
+				count += total.Count
+			}
+		}
+		if count != 10 {
+			return fmt.Errorf("%d refusals are known, want 10", count)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Error(err)
+	}
+}
+
 // TestSlowSenderHoldsNothing sends half a body and waits.
 func TestSlowSenderHoldsNothing(t *testing.T) {
 	f := startFleet(t, "hivecraft")
--- a/internal/daemon/entry/leader.go
+++ b/internal/daemon/entry/leader.go
@@ -124,6 +124,9 @@
 	sent := d.Clock.Now()
 	d.granted(d.ServeBeat(b), sent)
 	d.tally.kept(b.Totals)
+	if len(b.Totals) > 0 {
+		d.spread(daisygap.Push{Totals: b.Totals, Incarnation: d.incarnation})
+	}
 	m := &d.members
 	m.mu.Lock()
 	if m.holder == nil {
--- a/internal/daemon/entry/membership.go
+++ b/internal/daemon/entry/membership.go
@@ -207,6 +207,9 @@
 	}
 	m.member.Granted(membership.Lease{Span: g.Span, View: view, Timing: membership.Timing{Lease: g.Lease, Longest: g.Longest}}, sent, now)
 	m.publish(now)
+	if m.member.View().Epoch != before.Epoch {
+		d.tally.resend()
+	}
 	if after := m.member.View(); after.Seq != before.Seq || after.Epoch != before.Epoch {
 		d.replan()
 	}
--- a/internal/daemon/entry/tally.go
+++ b/internal/daemon/entry/tally.go
@@ -78,6 +78,13 @@
 	}
 }
 
+// resend makes all open counts go to a new leaseholder, which may not have what its predecessor had.
+func (t *tally) resend() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.saved = nil
+}
+
 // collect takes in one incarnation's counts.
 func (t *tally) collect(incarnation string, totals []daisygap.Total) {
 	t.mu.Lock()
@@ -134,13 +141,14 @@
 	t.dirty[minute] = true
 }
 
-// forget drops minutes that are no longer open.
-func (t *tally) forget(before int64) {
+// forget drops minutes that are no longer open; a leaseholder keeps those that are not in the store yet.
+func (t *tally) forget(before int64, holder bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for minute := range t.domain {
-		if minute < before && !t.dirty[minute] {
+		if minute < before && (!holder || !t.dirty[minute]) {
 			delete(t.domain, minute)
+			delete(t.dirty, minute)
 		}
 	}
 }
@@ -149,6 +157,8 @@
 func (d *Daemon) runTotals() {
 	for d.pause(d.jitter(d.Timing.Totals)) {
 		d.dropParts()
+		now := int64(d.Clock.Wall() / minuteMillis)
+		d.tally.forget(now-openMinutes, d.IsHolder())
 		if !d.holdsStoreLease() {
 			continue
 		}
@@ -158,8 +168,6 @@
 				d.tally.markDirty(minute)
 			}
 		}
-		now := int64(d.Clock.Wall() / minuteMillis)
-		d.tally.forget(now - openMinutes)
 		d.trimTotals(d.ctx, now-keepMinutes)
 	}
 }
--- a/internal/daemon/entry/tree.go
+++ b/internal/daemon/entry/tree.go
@@ -13,6 +13,7 @@
 	for _, c := range p.Crashes {
 		d.noteCrash(c)
 	}
+	d.tally.collect(p.Incarnation, p.Totals)
 	freshPatches := d.applyPatches(p.Patches)
 	freshRecords := d.gossip.merge(d.Settings.Domain, p.Records, now)
 	for _, r := range freshRecords {
--- a/peer.go
+++ b/peer.go
@@ -93,7 +93,10 @@
 	Patches []Patch  `json:"p,omitempty"`
 	Records []Record `json:"r,omitempty"`
 	Crashes []Crash  `json:"c,omitempty"`
-	Root    string   `json:"o,omitempty"`
+	// Totals are the leaseholder's own refusal counts under its Incarnation, which others keep in case it is lost.
+	Totals      []Total `json:"t,omitempty"`
+	Incarnation string  `json:"i,omitempty"`
+	Root        string  `json:"o,omitempty"`
 }
 
 // Crash reports that a request was running on an upstream when it crashed.
