A daemon that starts learns the records from its peers again

A trace showed restarted daemons with a configuration but no records, so that they could hand nothing over: a full digest of nothing was left out of the message as empty, and the other side asked for a full digest without end. Change: the digest says that it is full. A refusal that speaks of one host alone (no lease, no configuration) passes that host over and costs no retry budget. Conclusion: a test asks every daemon as a new one would.

--- a/internal/daemon/entry/carry.go
+++ b/internal/daemon/entry/carry.go
@@ -202,7 +202,7 @@
 	switch r.Reason {
 	case daisygap.ReasonUnreachable, daisygap.ReasonUpstreamFailed, daisygap.ReasonUpstreamShed,
 		daisygap.ReasonQueueFull, daisygap.ReasonDeadline, daisygap.ReasonNoCapacity,
-		daisygap.ReasonFenced, daisygap.ReasonDraining:
+		daisygap.ReasonFenced, daisygap.ReasonDraining, daisygap.ReasonNoConfiguration:
 	default:
 		return false
 	}
@@ -212,8 +212,8 @@
 	if e.sent && !e.in.Whole {
 		return false
 	}
-	// A request that could not be sent at all has cost its peers nothing.
-	free := r.Reason == daisygap.ReasonUnreachable && r.Run == daisygap.NotRun
+	// A request that no host could take has cost its peers nothing.
+	free := (hostOnly(r.Reason) || r.Reason == daisygap.ReasonUnreachable) && r.Run == daisygap.NotRun
 	return free || e.d.budgets.take(e.in.Request.Kind)
 }
 
@@ -308,21 +308,33 @@
 		return e.handOverFailed(choice, err)
 	}
 	if reason := res.Header.Get(daisygap.HeaderReason); reason != "" {
+		if hostOnly(daisygap.Reason(reason)) {
+			e.passOver(choice)
+		}
 		refusal := e.refusal(daisygap.Reason(reason), daisygap.RunState(res.Header.Get(daisygap.HeaderRun)), daisygap.Figures{Left: e.left()})
 		return attempt{refusal: refusal, sealed: res, domain: choice.Domain}
 	}
 	return attempt{response: res, domain: choice.Domain, finish: func(balance.Outcome) {}}
 }
 
+// hostOnly tells whether a refusal speaks of one host and not of its domain.
+func hostOnly(reason daisygap.Reason) bool {
+	return reason == daisygap.ReasonFenced || reason == daisygap.ReasonNoConfiguration
+}
+
+// passOver leaves a host out for a while; another one of its domain may still serve.
+func (e *exchange) passOver(choice routing.Choice) {
+	e.d.down.add(choice.Host.Name, e.d.Clock.Now())
+	delete(e.tried, choice.Domain)
+}
+
 func (e *exchange) handOverFailed(choice routing.Choice, err error) attempt {
 	d := e.d
 	d.Log.With("carry").Debugf("%s: %v", choice.Host.Name, err)
 	run := daisygap.Unknown
 	if errors.Is(err, upstream.ErrNotSent) {
 		run = daisygap.NotRun
-		d.down.add(choice.Host.Name, d.Clock.Now())
-		// Another host of the domain may still be there.
-		delete(e.tried, choice.Domain)
+		e.passOver(choice)
 	}
 	reason := daisygap.ReasonUnreachable
 	if e.ctx.Err() != nil {
--- a/internal/daemon/entry/fault_test.go
+++ b/internal/daemon/entry/fault_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/peer"
 	"github.com/daisygap/daisygap/internal/standin/caller"
 	"github.com/daisygap/daisygap/internal/standin/fleet"
 	"github.com/daisygap/daisygap/internal/standin/store"
@@ -181,6 +182,23 @@
 	}
 }
 
+// TestNewDaemonLearnsFromAnyOther asks a running daemon as one that has nothing would.
+func TestNewDaemonLearnsFromAnyOther(t *testing.T) {
+	f := startFleet(t, "hivecraft")
+	client := &peer.Client{}
+	defer client.Close()
+	for _, n := range f.Nodes() {
+		delta, err := client.Sync(context.Background(), n.Settings.Peer, daisygap.Digest{})
+		if err != nil || !delta.Again {
+			t.Errorf("%s: %+v, %v; want to be asked for a full digest", n.Settings.Host, delta, err)
+		}
+		delta, err = client.Sync(context.Background(), n.Settings.Peer, daisygap.Digest{Full: true})
+		if err != nil || len(delta.Records) != 12 || len(delta.Patches) != 1 {
+			t.Errorf("%s gave %d records and %d patches, %v; want 12 and 1", n.Settings.Host, len(delta.Records), len(delta.Patches), err)
+		}
+	}
+}
+
 // TestTotalsSurviveAnyHost refuses requests at both daemons of a domain, and kills its leaseholder before it has written them to the store.
 func TestTotalsSurviveAnyHost(t *testing.T) {
 	f := startFleet(t, "hivecraft")
--- a/internal/daemon/entry/gossip.go
+++ b/internal/daemon/entry/gossip.go
@@ -261,12 +261,12 @@
 	version := d.Version()
 	delta := daisygap.Delta{Version: version}
 	d.gossip.hear(digest.Beats, d.Clock.Now())
-	if digest.Seqs == nil && digest.Sum != d.gossip.sum() {
+	if !digest.Full && digest.Sum != d.gossip.sum() {
 		delta.Again = true
 		return delta
 	}
 	delta.Beats = d.gossip.newerBeats(digest.Beats)
-	if digest.Seqs != nil {
+	if digest.Full {
 		delta.Records, delta.Want = d.gossip.newer(digest.Seqs)
 	}
 	delta.Patches, delta.Far = d.versions.since(digest.Version, version)
--- a/internal/daemon/entry/records.go
+++ b/internal/daemon/entry/records.go
@@ -70,6 +70,7 @@
 	defer g.mu.Unlock()
 	digest := daisygap.Digest{Version: version, Sum: sum, Beats: make(map[string]uint64, len(g.records)/2)}
 	if full {
+		digest.Full = true
 		digest.Seqs = make(map[string]uint64, len(g.records))
 	}
 	for key, r := range g.records {
--- a/peer.go
+++ b/peer.go
@@ -69,7 +69,8 @@
 	Sum uint64 `json:"m"`
 	// Beats holds the newest sign of life of each domain.
 	Beats map[string]uint64 `json:"b,omitempty"`
-	// Seqs names the newest record of each key; it is sent when the sums were found to differ.
+	// Full tells that Seqs names the newest record of each key, after the sums were found to differ; a daemon that starts has none.
+	Full bool              `json:"f,omitempty"`
 	Seqs map[string]uint64 `json:"s,omitempty"`
 }
 
