One way to report as JSON or for people

Cause: the pattern stood four times in the commands, and a wait twice. Change: term.Output.Report, caller.SleepUntil.

--- a/internal/command/demo/demo.go
+++ b/internal/command/demo/demo.go
@@ -269,17 +269,15 @@
 }
 
 func (c *Command) tell(r *report) subcommands.ExitStatus {
-	if c.json {
-		if status := c.Output.JSON(r); status != subcommands.ExitSuccess {
-			return status
-		}
-	} else {
-		load.PrintRows(c.Output, r.Rows)
-		c.Output.Printf("drain of %s: last start %d ms after the commit, %d requests cut", r.Drain.Upstream, r.Drain.LastStart, r.Drain.Cut)
-	}
+	status := subcommands.ExitSuccess
 	if !r.Accounted {
-		c.Output.Printf("some requests are not accounted for")
-		return term.ExitFailed
+		status = term.ExitFailed
 	}
-	return subcommands.ExitSuccess
+	return c.Output.Report(c.json, r, status, func() {
+		load.PrintRows(c.Output, r.Rows)
+		c.Output.Printf("drain of %s: last start %d ms after the commit, %d requests cut", r.Drain.Upstream, r.Drain.LastStart, r.Drain.Cut)
+		if !r.Accounted {
+			c.Output.Printf("some requests are not accounted for")
+		}
+	})
 }
--- a/internal/command/demo/faults.go
+++ b/internal/command/demo/faults.go
@@ -80,19 +80,15 @@
 }
 
 func (c *Command) tellFaults(r *faultReport) subcommands.ExitStatus {
-	if c.json {
-		if status := c.Output.JSON(r); status != subcommands.ExitSuccess {
-			return status
-		}
-	} else {
+	status := subcommands.ExitSuccess
+	if len(r.Broken) > 0 {
+		status = term.ExitFailed
+	}
+	return c.Output.Report(c.json, r, status, func() {
 		load.PrintRows(c.Output, r.Rows)
 		for _, b := range r.Broken {
 			c.Output.Printf("broken: %s", b)
 		}
 		c.Output.Printf("seed %d: %d invariants broken", r.Seed, len(r.Broken))
-	}
-	if len(r.Broken) > 0 {
-		return term.ExitFailed
-	}
-	return subcommands.ExitSuccess
+	})
 }
--- a/internal/command/operate/ask.go
+++ b/internal/command/operate/ask.go
@@ -245,15 +245,14 @@
 	if len(missing) > 0 {
 		status = term.ExitPartial
 	}
-	if c.json {
-		if failed := c.Output.JSON(struct {
-			Totals  []daisygap.Total `json:"totals"`
-			Missing []string         `json:"missing"`
-		}{totals, missing}); failed != subcommands.ExitSuccess {
-			return failed
-		}
-		return status
-	}
+	report := struct {
+		Totals  []daisygap.Total `json:"totals"`
+		Missing []string         `json:"missing"`
+	}{totals, missing}
+	return c.Output.Report(c.json, report, status, func() { c.describe(totals, missing) })
+}
+
+func (c *Refusals) describe(totals []daisygap.Total, missing []string) {
 	var rows [][]string
 	for _, t := range totals {
 		at := time.Unix(t.Minute*60, 0).UTC().Format("2006-01-02T15:04Z")
@@ -267,5 +266,4 @@
 	for _, m := range missing {
 		c.Output.Printf("not reached: %s", m)
 	}
-	return status
 }
--- a/internal/command/operate/patch.go
+++ b/internal/command/operate/patch.go
@@ -119,15 +119,13 @@
 	if len(o.Lack)+len(o.Silent) > 0 {
 		status = term.ExitPartial
 	}
-	if c.json {
-		if failed := c.Output.JSON(o); failed != subcommands.ExitSuccess {
-			return failed
-		}
-		return status
-	}
+	return c.Output.Report(c.json, o, status, func() { c.describe(o) })
+}
+
+func (c *commit) describe(o *outcome) {
 	c.Output.Printf("version %d is committed", o.Version)
 	if !o.Waited {
-		return status
+		return
 	}
 	c.Output.Printf("in force on %d daemons", len(o.Have))
 	for _, host := range o.Lack {
@@ -136,7 +134,6 @@
 	for _, domain := range o.Silent {
 		c.Output.Printf("not heard from domain %s", domain)
 	}
-	return status
 }
 
 // Patch is daisygap patch.
--- a/internal/command/term/term.go
+++ b/internal/command/term/term.go
@@ -65,6 +65,18 @@
 	return subcommands.ExitSuccess
 }
 
+// Report writes a value as JSON, or in the way for people, and returns the status unless writing failed.
+func (o Output) Report(asJSON bool, v any, status subcommands.ExitStatus, people func()) subcommands.ExitStatus {
+	if !asJSON {
+		people()
+		return status
+	}
+	if failed := o.JSON(v); failed != subcommands.ExitSuccess {
+		return failed
+	}
+	return status
+}
+
 // Table writes rows under a head in aligned columns.
 func (o Output) Table(head []string, rows [][]string) {
 	w := tabwriter.NewWriter(o.Out, 0, 4, 2, ' ', 0)
--- a/internal/standin/caller/driver.go
+++ b/internal/standin/caller/driver.go
@@ -173,7 +173,7 @@
 	due := f.Start
 	for n := 0; ; n++ {
 		due += time.Duration(random.ExpFloat64() / f.Rate * float64(time.Second))
-		if due >= f.End || !sleepUntil(ctx, start.Add(due)) || !d.admit() {
+		if due >= f.End || !SleepUntil(ctx, start.Add(due)) || !d.admit() {
 			return
 		}
 		intended := start.Add(due)
@@ -193,7 +193,8 @@
 	return d.Most == 0 || d.sent <= d.Most
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
+// SleepUntil waits until a time, and reports false when the context ended first.
+func SleepUntil(ctx context.Context, at time.Time) bool {
 	wait := time.Until(at)
 	if wait <= 0 {
 		return ctx.Err() == nil
--- a/internal/standin/fleet/chaos.go
+++ b/internal/standin/fleet/chaos.go
@@ -47,7 +47,7 @@
 	c.random = rand.New(rand.NewPCG(c.Seed, 99))
 	c.busy = make(map[string]bool)
 	c.versions = make(map[string]uint64)
-	for sleep(ctx, faultGap/2+time.Duration(c.random.Int64N(int64(faultGap)))) {
+	for caller.SleepUntil(ctx, time.Now().Add(faultGap/2+time.Duration(c.random.Int64N(int64(faultGap))))) {
 		c.watchVersions()
 		c.one(ctx)
 	}
@@ -55,17 +55,6 @@
 	c.Fleet.Store.SetFaults(store.Faults{})
 }
 
-func sleep(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // one starts one fault and heals it after a while; all choices are made here, in order, so that they follow from the seed.
 func (c *Chaos) one(ctx context.Context) {
 	host := c.Fleet.Hosts[c.random.IntN(len(c.Fleet.Hosts))]
