Floors of less than a slot, and urgent work under a background flood

Cause: BenchmarkFloodBeside (three kinds on 60 shared slots): in a flood of orders catalogue got 0.016 of the slots, its floor is 0.1; in a flood of drawings the orders' p99 was 3.5 of that without. An idle kind lost its credit, so that a request with a short deadline was refused before it could earn a slot; the expected wait ignored the floor; and the pressure that sends work to other domains counted waiting requests of lower ranks. Change: an idle kind keeps credit for one request; the wait is the shorter of that by rank and that by floor; only requests that go first count as pressure. On a manual clock: 0.001 -> at least 0.095 of the slots for a floor of half a slot (the new test fails on the old code).

--- a/internal/adapter/upstream/pool.go
+++ b/internal/adapter/upstream/pool.go
@@ -310,6 +310,17 @@
 	}
 }
 
+// Pressure returns the waiting requests that go before a new one of a kind, as a part of the slots; 1 without slots.
+func (p *Pool) Pressure(kind string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	slots := p.balancer.Capacity(p.Clock.Now())
+	if slots == 0 {
+		return 1
+	}
+	return float64(p.queue.AheadOf(kind)) / float64(slots)
+}
+
 // Shrunk tells whether the use of every upstream fits the daemon's shares.
 func (p *Pool) Shrunk() bool {
 	p.mu.Lock()
--- a/internal/daemon/entry/carry.go
+++ b/internal/daemon/entry/carry.go
@@ -171,9 +171,7 @@
 	pool := d.pool(d.config().GroupOf(e.in.Request.Kind))
 	pressure := 1.0
 	if pool != nil {
-		if l := pool.Load(); l.Slots > 0 {
-			pressure = float64(l.Waiting) / float64(l.Slots)
-		}
+		pressure = pool.Pressure(e.in.Request.Kind)
 	}
 	return e.world.Choose(routing.Query{
 		Request: e.in.Request, Self: d.Settings.Domain, Host: d.Settings.Host, Region: d.Settings.Region,
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -231,36 +231,32 @@
 	return k.rule.Capped && k.running >= k.rule.Most
 }
 
-// charge moves credit in slot-milliseconds: each waiting kind earns its floor's part of the work that starts, and the started kind pays for it.
+// charge moves credit in slot-milliseconds: each kind earns its floor's part of the work that starts, and the started kind pays for it.
 func (q *Queue) charge(started *kind) {
 	cost := max(started.service, 1)
 	for _, k := range q.kinds {
+		most := maxCredit * max(k.service, 1)
 		if len(k.items) == 0 && k != started {
-			k.credit = 0
-			continue
+			// An idle kind keeps enough for its next request to start at once, and lends the rest.
+			most = max(k.service, 1)
 		}
-		k.credit = min(k.credit+k.rule.Floor*cost, maxCredit*max(k.service, 1))
+		k.credit = min(k.credit+k.rule.Floor*cost, most)
 	}
 	started.credit = max(started.credit-cost, 0)
 }
 
 func (q *Queue) figures(k *kind, r *daisygap.Request, now daisygap.Millis) daisygap.Figures {
-	running, ahead, busier := 0, 0, 0
+	running, ahead := 0, 0
 	for _, o := range q.kinds {
 		running += o.running
 		if o != k && o.rule.Rank < k.rule.Rank {
 			ahead += len(o.items)
-			busier += o.running
 		}
 	}
 	own := k.ahead(r.Caller)
-	slots := max(float64(q.limit-busier), k.rule.Floor*float64(q.limit), 1)
-	if k.rule.Capped {
-		slots = max(min(slots, float64(k.rule.Most)), 1)
-	}
 	wait := 0.0
 	if running >= q.limit || own > 0 || k.full() {
-		wait = (min(float64(ahead), slots) + float64(own) + 1) / slots * k.service
+		wait = k.wait(float64(q.limit), float64(ahead), float64(own))
 	}
 	return daisygap.Figures{
 		Queued:  len(k.items),
@@ -271,6 +267,35 @@
 	}
 }
 
+// wait estimates the time until the kind's next request starts: in its turn by rank, or sooner by its floor.
+func (k *kind) wait(slots, ahead, own float64) float64 {
+	slots = max(slots, 1)
+	if k.rule.Capped {
+		slots = max(min(slots, float64(k.rule.Most)), 1)
+	}
+	byRank := (ahead + own + 1) / slots * k.service
+	if k.rule.Floor == 0 {
+		return byRank
+	}
+	missing := max((own+1)*k.service-k.credit, 0)
+	return min(byRank, missing/(k.rule.Floor*slots)+k.service/slots)
+}
+
+// AheadOf returns how many waiting requests go before a new one of a kind by rank.
+func (q *Queue) AheadOf(name string) int {
+	own := q.byName[name]
+	if own == nil {
+		return 0
+	}
+	n := 0
+	for _, k := range q.kinds {
+		if k.rule.Rank <= own.rule.Rank {
+			n += len(k.items)
+		}
+	}
+	return n
+}
+
 // ahead estimates how many requests of the kind start before the next one of a caller.
 func (k *kind) ahead(name string) int {
 	mine := 0
--- a/internal/policy/admission/queue_test.go
+++ b/internal/policy/admission/queue_test.go
@@ -105,6 +105,24 @@
 	}
 }
 
+// TestFloorOfLessThanOneSlot floods five slots with orders beside a kind whose floor is half a slot and whose deadline is short.
+func TestFloorOfLessThanOneSlot(t *testing.T) {
+	b := newBench(threeRanks, 5, 200)
+	for range 60_000 {
+		if b.now%8 == 0 { // five times the slots
+			b.offer("orders", fmt.Sprint(b.now%7), 2_000)
+		}
+		if b.now%133 == 0 { // 0.3 of the slots
+			b.offer("catalogue", "c", 500)
+		}
+		b.tick()
+	}
+	total := 60_000 / 200 * 5
+	if part := float64(b.served["catalogue"]) / float64(total); part < 0.95*0.1 {
+		t.Errorf("catalogue got %.3f of the slots, want 0.95 of its floor of 0.1", part)
+	}
+}
+
 func TestFloodOfBackgroundLeavesUrgentAlone(t *testing.T) {
 	b := newBench(threeRanks, 10, 50)
 	for range 10_000 {
