An abandoned request's slot rests until its upstream has noticed

Thousands of requests had passed their deadline there; the daemon gave a slot out again the moment it closed the connection, while the upstream still ran the old request. Change: the slot of an abandoned request rests for 250 ms, and leases and loans count that time as part of the longest request. A planned stop waits for it.

--- a/configuration.go
+++ b/configuration.go
@@ -137,11 +137,14 @@
 	return false
 }
 
-// LongestDeadline returns the longest time that any request may run, in milliseconds.
+// SettleSpan is how long an upstream may take to notice that a connection was closed, in milliseconds.
+const SettleSpan = Millis(250)
+
+// LongestDeadline returns the longest time that any request may hold a slot, in milliseconds.
 func (c *Configuration) LongestDeadline() Millis {
 	var longest Millis
 	for _, k := range c.Kinds {
 		longest = max(longest, k.Most)
 	}
-	return longest
+	return longest + SettleSpan
 }
--- a/internal/adapter/upstream/pool.go
+++ b/internal/adapter/upstream/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/policy/admission"
@@ -268,8 +269,16 @@
 	ch <- grant{denial: &admission.Denial{Reason: reason, Figures: p.queue.Figures(it.Request, now)}}
 }
 
-// Done gives the slot back and tells how the attempt ended.
+// Done gives the slot back and tells how the attempt ended; after an abandoned one the slot rests until the upstream has surely noticed.
 func (s *Slot) Done(outcome balance.Outcome) {
+	if outcome == balance.Abandoned {
+		time.AfterFunc(daisygap.SettleSpan.Duration(), func() { s.release(outcome) })
+		return
+	}
+	s.release(outcome)
+}
+
+func (s *Slot) release(outcome balance.Outcome) {
 	p := s.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/daemon/entry/stop.go
+++ b/internal/daemon/entry/stop.go
@@ -51,7 +51,7 @@
 		return false
 	}
 	for _, p := range *d.pools.Load() {
-		if p.LentOut() {
+		if p.LentOut() || p.Load().Running > 0 {
 			return false
 		}
 	}
