Ports of the stand-ins lie below the kernel's range

Change: internal/standin/port gives out addresses below that range, for the fleet's daemons and upstreams and for the sessions of test/, which had a finder of their own.

--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -22,6 +22,7 @@
 	storeclient "github.com/daisygap/daisygap/internal/adapter/store"
 	upstreamclient "github.com/daisygap/daisygap/internal/adapter/upstream"
 	"github.com/daisygap/daisygap/internal/daemon/entry"
+	"github.com/daisygap/daisygap/internal/standin/port"
 	"github.com/daisygap/daisygap/internal/standin/store"
 	"github.com/daisygap/daisygap/internal/standin/upstream"
 )
@@ -30,7 +31,6 @@
 const Token = "fleet-token"
 
 const (
-	loopback     = "127.0.0.1:0"
 	readsPerSec  = 2000
 	writesPerSec = 400
 )
@@ -134,7 +134,11 @@
 			Name: name, Clock: f.Clock, Slots: u.Slots, Service: max(w.Service, 1), Size: w.Size,
 			Cold: f.Cold, Restart: 500, Seed: f.Seed + uint64(i),
 		}
-		if err := s.Run(loopback); err != nil {
+		address, err := port.Free()
+		if err != nil {
+			return nil, err
+		}
+		if err := s.Run(address); err != nil {
 			return nil, err
 		}
 		u.Address = s.Address()
@@ -157,13 +161,9 @@
 func (f *Fleet) Start(h Host) (*Node, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	settings := f.settings(h)
-	if old := f.nodes[h.Name]; old != nil {
-		again := *old.Settings
-		again.Peers = slices.Clone(f.peers)
-		settings = &again
-	} else {
-		defer func() { f.peers = append(f.peers, settings.Peer) }()
+	settings, err := f.settings(h)
+	if err != nil {
+		return nil, err
 	}
 	n := &Node{Settings: settings}
 	n.client = &peer.Client{Dial: func(ctx context.Context, address string) (net.Conn, error) {
@@ -192,6 +192,9 @@
 	n.cancel = cancel
 	n.Daemon.Run(ctx)
 	n.Faces.Run()
+	if f.nodes[h.Name] == nil {
+		f.peers = append(f.peers, settings.Peer)
+	}
 	f.nodes[h.Name] = n
 	return n, nil
 }
@@ -203,14 +206,26 @@
 	return &c
 }
 
-func (f *Fleet) settings(h Host) *daisygap.Settings {
-	c := f.configuration()
-	return &daisygap.Settings{
-		Host: h.Name, Domain: h.Domain, Region: c.Domains[h.Domain].Region,
-		Caller: loopback, Carry: loopback, Peer: loopback, Operator: loopback,
+// settings returns those of a new host, or those of one that ran before with the peers of now.
+func (f *Fleet) settings(h Host) (*daisygap.Settings, error) {
+	if old := f.nodes[h.Name]; old != nil {
+		again := *old.Settings
+		again.Peers = slices.Clone(f.peers)
+		return &again, nil
+	}
+	s := &daisygap.Settings{
+		Host: h.Name, Domain: h.Domain, Region: f.configuration().Domains[h.Domain].Region,
 		Store: f.http.URL, Peers: slices.Clone(f.peers), Token: Token, Level: "info",
 		Linger: f.Linger, Trust: []string{"127.0.0.0/8"},
 	}
+	for _, address := range []*string{&s.Caller, &s.Carry, &s.Peer, &s.Operator} {
+		free, err := port.Free()
+		if err != nil {
+			return nil, err
+		}
+		*address = free
+	}
+	return s, nil
 }
 
 // Node returns a running daemon, or nil.
--- a/test/session_test.go
+++ b/test/session_test.go
@@ -4,14 +4,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"regexp"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +21,7 @@
 	"github.com/daisygap/daisygap/internal/adapter/operator"
 	"github.com/daisygap/daisygap/internal/command/run"
 	"github.com/daisygap/daisygap/internal/standin/fleet"
+	"github.com/daisygap/daisygap/internal/standin/port"
 	"github.com/daisygap/daisygap/internal/standin/store"
 	"github.com/daisygap/daisygap/internal/standin/upstream"
 )
@@ -72,7 +71,7 @@
 	}
 	for _, host := range []string{"A", "B"} {
 		for _, face := range []string{"CALLER", "CARRY", "PEER", "OPERATOR"} {
-			address, err := freeAddress()
+			address, err := port.Free()
 			if err != nil {
 				return err
 			}
@@ -84,24 +83,6 @@
 	return nil
 }
 
-// nextPort counts up below the ports that the kernel gives to clients, so that no connection takes one meanwhile.
-var nextPort atomic.Int32
-
-const firstPort = 21_000
-
-func freeAddress() (string, error) {
-	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
-		l, err := net.Listen("tcp", address)
-		if err == nil {
-			return address, l.Close()
-		}
-		if nextPort.Load() > 10_000 {
-			return "", err
-		}
-	}
-}
-
 // expand replaces variables in files.
 func expand(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
