--- a/internal/policy/routing/choose.go
+++ b/internal/policy/routing/choose.go
@@ -77,20 +77,35 @@
 // KeyHosts returns, in the order of their names, the hosts that remember idempotency keys of a kind from a region: those of the nearest region that serves the kind.
 func (w *World) KeyHosts(region, kind string) []daisygap.Host {
 	for _, near := range w.order[region] {
-		var hosts []daisygap.Host
-		for _, d := range w.domains[near] {
-			if _, ok := w.usable(d, kind); ok {
-				hosts = append(hosts, w.live[d]...)
-			}
-		}
-		if len(hosts) > 0 {
-			slices.SortFunc(hosts, func(a, b daisygap.Host) int { return strings.Compare(a.Name, b.Name) })
+		if hosts := w.keyHostsIn(near, kind); len(hosts) > 0 {
 			return hosts
 		}
 	}
 	return nil
 }
 
+// keyScope names the hosts of a region that serve a kind.
+type keyScope struct {
+	region, kind string
+}
+
+// keyHostsIn sorts the hosts at the first use only, since each request with a key needs them.
+func (w *World) keyHostsIn(region, kind string) []daisygap.Host {
+	scope := keyScope{region: region, kind: kind}
+	if known, ok := w.keys.Load(scope); ok {
+		return known.([]daisygap.Host)
+	}
+	var hosts []daisygap.Host
+	for _, d := range w.domains[region] {
+		if _, ok := w.usable(d, kind); ok {
+			hosts = append(hosts, w.live[d]...)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b daisygap.Host) int { return strings.Compare(a.Name, b.Name) })
+	w.keys.Store(scope, hosts)
+	return hosts
+}
+
 // Closed tells whether a drained domain has given all of a group's work away.
 func (w *World) Closed(domain, group string) bool {
 	return w.State.Config.DomainDrained(domain) && w.Records[domain].Give[group] >= 1
--- a/internal/policy/routing/routing_test.go
+++ b/internal/policy/routing/routing_test.go
@@ -287,3 +287,12 @@
 		}
 	})
 }
+
+func BenchmarkKeyHosts(b *testing.B) {
+	table := fullTable(b, 1_000)
+	w := NewWorld(table.state, fullRecords(table))
+	b.ReportAllocs()
+	for b.Loop() {
+		w.KeyHosts("region-3", "orders")
+	}
+}
--- a/internal/policy/routing/split.go
+++ b/internal/policy/routing/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"sync"
 
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/policy/configuration"
@@ -23,6 +24,7 @@
 	domains map[string][]string        // by region
 	order   map[string][]string        // regions by region, nearest first
 	live    map[string][]daisygap.Host // by domain
+	keys    sync.Map                   // hosts that remember keys, by keyScope
 }
 
 // NewWorld returns the world of a configuration and the domains' records.
