--- a/internal/command/operate/ask.go
+++ b/internal/command/operate/ask.go
@@ -21,16 +21,13 @@
 }
 
 // NewStatus returns the command.
-func NewStatus(o term.Output) *Status { return &Status{connection{Output: o}} }
-
-// Name returns the command's name.
-func (*Status) Name() string { return "status" }
-
-// Synopsis returns one line of help.
-func (*Status) Synopsis() string { return "show what a daemon knows of itself and of all domains" }
-
-// Usage returns the help text.
-func (*Status) Usage() string { return "status [--json]\n" }
+func NewStatus(o term.Output) *Status {
+	return &Status{connection{Output: o, about: about{
+		name:     "status",
+		synopsis: "show what a daemon knows of itself and of all domains",
+		usage:    "status [--json]\n",
+	}}}
+}
 
 // SetFlags defines the flags.
 func (c *Status) SetFlags(f *flag.FlagSet) { c.setFlags(f) }
@@ -92,16 +89,13 @@
 }
 
 // NewLookup returns the command.
-func NewLookup(o term.Output) *Lookup { return &Lookup{connection: connection{Output: o}} }
-
-// Name returns the command's name.
-func (*Lookup) Name() string { return "lookup" }
-
-// Synopsis returns one line of help.
-func (*Lookup) Synopsis() string { return "ask which entry hosts a caller would be given" }
-
-// Usage returns the help text.
-func (*Lookup) Usage() string { return "lookup --caller ADDRESS KIND\n" }
+func NewLookup(o term.Output) *Lookup {
+	return &Lookup{connection: connection{Output: o, about: about{
+		name:     "lookup",
+		synopsis: "ask which entry hosts a caller would be given",
+		usage:    "lookup --caller ADDRESS KIND\n",
+	}}}
+}
 
 // SetFlags defines the flags.
 func (c *Lookup) SetFlags(f *flag.FlagSet) {
@@ -128,17 +122,12 @@
 }
 
 // NewExplain returns the command.
-func NewExplain(o term.Output) *Explain { return &Explain{connection{Output: o}} }
-
-// Name returns the command's name.
-func (*Explain) Name() string { return "explain" }
-
-// Synopsis returns one line of help.
-func (*Explain) Synopsis() string { return "explain a refusal from its receipt" }
-
-// Usage returns the help text.
-func (*Explain) Usage() string {
-	return "explain RECEIPT\n  Any daemon can explain it, also when the one that issued it is gone.\n"
+func NewExplain(o term.Output) *Explain {
+	return &Explain{connection{Output: o, about: about{
+		name:     "explain",
+		synopsis: "explain a refusal from its receipt",
+		usage:    "explain RECEIPT\n  Any daemon can explain it, also when the one that issued it is gone.\n",
+	}}}
 }
 
 // SetFlags defines the flags.
@@ -211,16 +200,13 @@
 }
 
 // NewRefusals returns the command.
-func NewRefusals(o term.Output) *Refusals { return &Refusals{connection: connection{Output: o}} }
-
-// Name returns the command's name.
-func (*Refusals) Name() string { return "refusals" }
-
-// Synopsis returns one line of help.
-func (*Refusals) Synopsis() string { return "sum the refusals by minute, domain, kind and reason" }
-
-// Usage returns the help text.
-func (*Refusals) Usage() string { return "refusals [--minutes N] [--json]\n" }
+func NewRefusals(o term.Output) *Refusals {
+	return &Refusals{connection: connection{Output: o, about: about{
+		name:     "refusals",
+		synopsis: "sum the refusals by minute, domain, kind and reason",
+		usage:    "refusals [--minutes N] [--json]\n",
+	}}}
+}
 
 // SetFlags defines the flags.
 func (c *Refusals) SetFlags(f *flag.FlagSet) {
--- a/internal/command/operate/config.go
+++ b/internal/command/operate/config.go
@@ -22,20 +22,15 @@
 }
 
 // NewConfig returns the command.
-func NewConfig(o term.Output) *Config { return &Config{connection: connection{Output: o}} }
-
-// Name returns the command's name.
-func (*Config) Name() string { return "config" }
-
-// Synopsis returns one line of help.
-func (*Config) Synopsis() string { return "show the configuration, its history, or how a file differs" }
-
-// Usage returns the help text.
-func (*Config) Usage() string {
-	return `config show            the version in force, without client blocks
+func NewConfig(o term.Output) *Config {
+	return &Config{connection: connection{Output: o, about: about{
+		name:     "config",
+		synopsis: "show the configuration, its history, or how a file differs",
+		usage: `config show            the version in force, without client blocks
 config history         the patches after --since
 config diff FILE       the patch that would turn the version in force into the file
-`
+`,
+	}}}
 }
 
 // SetFlags defines the flags.
--- a/internal/command/operate/connection.go
+++ b/internal/command/operate/connection.go
@@ -17,6 +17,7 @@
 
 // connection holds the flags that every operators' command has.
 type connection struct {
+	about
 	Output term.Output
 
 	daemon string
@@ -24,6 +25,20 @@
 	json   bool
 }
 
+// about is what a command says of itself.
+type about struct {
+	name, synopsis, usage string
+}
+
+// Name returns the command's name.
+func (a *about) Name() string { return a.name }
+
+// Synopsis returns one line of help.
+func (a *about) Synopsis() string { return a.synopsis }
+
+// Usage returns the help text.
+func (a *about) Usage() string { return a.usage }
+
 func (c *connection) setFlags(f *flag.FlagSet) {
 	f.StringVar(&c.daemon, "daemon", envOr("DAISYGAP_DAEMON", defaultDaemon), "URL of a daemon's operator face (DAISYGAP_DAEMON)")
 	f.StringVar(&c.token, "token", os.Getenv("DAISYGAP_TOKEN"), "token for writes (DAISYGAP_TOKEN)")
--- a/internal/command/operate/patch.go
+++ b/internal/command/operate/patch.go
@@ -142,19 +142,14 @@
 }
 
 // NewPatch returns the command.
-func NewPatch(o term.Output) *Patch { return &Patch{commit{connection: connection{Output: o}}} }
-
-// Name returns the command's name.
-func (*Patch) Name() string { return "patch" }
-
-// Synopsis returns one line of help.
-func (*Patch) Synopsis() string { return "change the configuration against a numbered version" }
-
-// Usage returns the help text.
-func (*Patch) Usage() string {
-	return `patch --base N FILE    commit a merge patch (RFC 7396) as version N+1; FILE may be -
+func NewPatch(o term.Output) *Patch {
+	return &Patch{commit{connection: connection{Output: o, about: about{
+		name:     "patch",
+		synopsis: "change the configuration against a numbered version",
+		usage: `patch --base N FILE    commit a merge patch (RFC 7396) as version N+1; FILE may be -
   A patch written against another version than the current one is refused with what changed since.
-`
+`,
+	}}}}
 }
 
 // SetFlags defines the flags.
@@ -198,19 +193,14 @@
 }
 
 // NewDrain returns the command.
-func NewDrain(o term.Output) *Drain { return &Drain{commit: commit{connection: connection{Output: o}}} }
-
-// Name returns the command's name.
-func (*Drain) Name() string { return "drain" }
-
-// Synopsis returns one line of help.
-func (*Drain) Synopsis() string { return "empty a host, an upstream, a domain or a region" }
-
-// Usage returns the help text.
-func (*Drain) Usage() string {
-	return `drain host|upstream|domain|region NAME    patch the drains of the current version
+func NewDrain(o term.Output) *Drain {
+	return &Drain{commit: commit{connection: connection{Output: o, about: about{
+		name:     "drain",
+		synopsis: "empty a host, an upstream, a domain or a region",
+		usage: `drain host|upstream|domain|region NAME    patch the drains of the current version
   daisygap status shows the progress; --undo ends the drain.
-`
+`,
+	}}}}
 }
 
 // SetFlags defines the flags.
