--- a/internal/adapter/peer/codec.go
+++ b/internal/adapter/peer/codec.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/flate"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -19,6 +22,13 @@
 	bytesWritten = metrics.NewCounter(`daisygap_peer_bytes_total{direction="out"}`)
 )
 
+const (
+	// packedFrom is the size from which on a message is compressed.
+	packedFrom = 512
+	// packedBit marks the length of a compressed frame.
+	packedBit = 1 << 31
+)
+
 // codec frames each JSON object with its length, so that an oversized one is refused before it is read.
 type codec struct{}
 
@@ -31,8 +41,15 @@
 	if len(data) > MaxMessage {
 		return fmt.Errorf("message of %d bytes is over the limit of %d", len(data), MaxMessage)
 	}
+	mark := uint32(0)
+	if len(data) >= packedFrom {
+		if data, err = pack(data); err != nil {
+			return err
+		}
+		mark = packedBit
+	}
 	frame := make([]byte, 4, 4+len(data))
-	binary.BigEndian.PutUint32(frame, uint32(len(data)))
+	binary.BigEndian.PutUint32(frame, uint32(len(data))|mark)
 	_, err = stream.Write(append(frame, data...))
 	return err
 }
@@ -44,6 +61,8 @@
 		return err
 	}
 	size := binary.BigEndian.Uint32(head[:])
+	packed := size&packedBit != 0
+	size &^= packedBit
 	if size > MaxMessage {
 		return fmt.Errorf("message of %d bytes is over the limit of %d", size, MaxMessage)
 	}
@@ -51,9 +70,43 @@
 	if _, err := io.ReadFull(stream, data); err != nil {
 		return err
 	}
+	if packed {
+		var err error
+		if data, err = unpack(data); err != nil {
+			return err
+		}
+	}
 	return json.Unmarshal(data, into)
 }
 
+// packers are kept, since each holds several hundred kilobytes.
+var packers = sync.Pool{New: func() any {
+	w, _ := flate.NewWriter(io.Discard, flate.BestSpeed)
+	return w
+}}
+
+func pack(data []byte) ([]byte, error) {
+	w := packers.Get().(*flate.Writer)
+	defer packers.Put(w)
+	var out bytes.Buffer
+	w.Reset(&out)
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	err := w.Close()
+	return out.Bytes(), err
+}
+
+// unpack stops at the size that an uncompressed message may have.
+func unpack(data []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	out, err := io.ReadAll(io.LimitReader(r, MaxMessage+1))
+	if err == nil && len(out) > MaxMessage {
+		err = fmt.Errorf("compressed message is over the limit of %d bytes", MaxMessage)
+	}
+	return out, err
+}
+
 // countedConn counts the bytes of a connection.
 type countedConn struct {
 	net.Conn
--- a/internal/adapter/peer/codec_test.go
+++ b/internal/adapter/peer/codec_test.go
@@ -102,3 +102,34 @@
 		}
 	})
 }
+
+func TestLongMessagesArePacked(t *testing.T) {
+	sent := map[string]string{"text": strings.Repeat("frankfurt-1 ", 1_000)}
+	var wire bytes.Buffer
+	if err := (codec{}).WriteObject(&wire, sent); err != nil {
+		t.Fatal(err)
+	}
+	if wire.Len() > 1_000 {
+		t.Errorf("12 kB of repeated text took %d bytes", wire.Len())
+	}
+	var got map[string]string
+	if err := (codec{}).ReadObject(bufio.NewReader(&wire), &got); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(sent, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestPackedMessageOverTheLimit(t *testing.T) {
+	bomb, err := pack(append([]byte(`"`), bytes.Repeat([]byte("a"), 2*MaxMessage)...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	frame := binary.BigEndian.AppendUint32(nil, uint32(len(bomb))|packedBit)
+	var got string
+	err = (codec{}).ReadObject(bufio.NewReader(bytes.NewReader(append(frame, bomb...))), &got)
+	if err == nil || !strings.Contains(err.Error(), "over the limit") {
+		t.Errorf("a message of twice the limit was read: %v", err)
+	}
+}
--- a/internal/daemon/entry/gossip.go
+++ b/internal/daemon/entry/gossip.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// treeWidth is the number of daemons that each one passes a push on to.
-	treeWidth = 4
 	// Exchanges without a sign of life after which a domain counts as lost.
 	lostAfter = 8
 	// Part of a domain's slots by which its load must change to be told.
--- a/internal/daemon/entry/leader.go
+++ b/internal/daemon/entry/leader.go
@@ -17,6 +17,9 @@
 	loads   map[string]daisygap.Load
 	seen    daisygap.Millis
 	version uint64
+	// incarnation names the sender of a heartbeat in brief.
+	incarnation string
+	sum         uint64
 }
 
 // leaseValue is what the domain's lease key holds.
@@ -244,7 +247,7 @@
 
 // ServeBeat answers a heartbeat of a daemon of the own domain.
 func (d *Daemon) ServeBeat(b daisygap.Beat) daisygap.Grant {
-	if b.Domain != d.Settings.Domain {
+	if b.Name != "" && b.Domain != d.Settings.Domain {
 		return daisygap.Grant{}
 	}
 	m := &d.members
@@ -255,6 +258,12 @@
 		m.mu.Unlock()
 		return daisygap.Grant{Holder: leader}
 	}
+	if b.Name == "" {
+		if !m.fillIn(&b) {
+			m.mu.Unlock()
+			return daisygap.Grant{Again: true}
+		}
+	}
 	lease := m.holder.Beat(membership.Heartbeat{
 		Host: b.Name, Incarnation: b.Incarnation, Ack: b.Ack, Leaving: b.Leaving, Held: b.Held,
 	}, now)
@@ -265,11 +274,26 @@
 	g.Again = !m.noteContact(b, now)
 	m.mu.Unlock()
 	d.tally.collect(b.Incarnation, b.Totals)
-	g.Version, g.Sum = d.Version(), d.gossip.sum()
+	g.Differs = b.Version != d.Version() || b.Sum != d.gossip.sum()
 	g.Lost = d.gossip.lostDomains()
 	return g
 }
 
+// fillIn adds to a heartbeat in brief what its sender told before, and reports whether that is known; the caller holds the lock.
+func (m *members) fillIn(b *daisygap.Beat) bool {
+	for name, c := range m.contacts {
+		if c.incarnation != b.Incarnation {
+			continue
+		}
+		b.Name = name
+		if b.Sum == 0 {
+			b.Sum = c.sum
+		}
+		return true
+	}
+	return false
+}
+
 // noteContact keeps what a heartbeat says, and reports whether that is enough to know the member.
 func (m *members) noteContact(b daisygap.Beat, now daisygap.Millis) bool {
 	if b.Leaving {
@@ -286,7 +310,7 @@
 	if !known && b.Host == nil {
 		return false
 	}
-	c.seen, c.version = now, b.Version
+	c.seen, c.version, c.incarnation, c.sum = now, b.Version, b.Incarnation, b.Sum
 	m.contacts[b.Name] = c
 	return true
 }
--- a/internal/daemon/entry/membership.go
+++ b/internal/daemon/entry/membership.go
@@ -138,9 +138,13 @@
 	if m.toldTo != leader {
 		return b
 	}
+	b.Domain, b.Name = "", ""
 	if m.told.Host != nil && *m.told.Host == *b.Host {
 		b.Host = nil
 	}
+	if m.told.Sum == b.Sum {
+		b.Sum = 0
+	}
 	if maps.Equal(m.told.Loads, b.Loads) {
 		b.Loads = nil
 	}
@@ -162,7 +166,7 @@
 	b := d.beat()
 	sent := d.Clock.Now()
 	m := &d.members
-	g, err := d.Peers.Beat(d.ctx, leader, m.brief(b, leader))
+	g, err := d.callLeader(leader, b)
 	if err != nil {
 		m.mu.Lock()
 		m.failures++
@@ -185,12 +189,21 @@
 	m.noteTold(b, leader, g.Again)
 	d.granted(g, sent)
 	d.tally.kept(b.Totals)
-	if g.Version != b.Version || g.Sum != b.Sum {
+	if g.Differs {
 		d.syncWith(leader)
 	}
 	d.gossip.setLost(g.Lost, d.replan)
 }
 
+// callLeader sends a heartbeat in brief, and in full when the leaseholder doesn't know this daemon any more.
+func (d *Daemon) callLeader(leader string, b daisygap.Beat) (daisygap.Grant, error) {
+	g, err := d.Peers.Beat(d.ctx, leader, d.members.brief(b, leader))
+	if err == nil && g.Again && g.Epoch == 0 {
+		return d.Peers.Beat(d.ctx, leader, b)
+	}
+	return g, err
+}
+
 // granted takes in a leaseholder's answer.
 func (d *Daemon) granted(g daisygap.Grant, sent daisygap.Millis) {
 	m := &d.members
--- a/internal/daemon/entry/tree.go
+++ b/internal/daemon/entry/tree.go
@@ -70,8 +70,8 @@
 	if root < 0 || own < 0 {
 		return
 	}
-	place := (own - root + len(hosts)) % len(hosts)
-	for i := treeWidth*place + 1; i <= treeWidth*place+treeWidth && i < len(hosts); i++ {
+	first, last := children((own - root + len(hosts)) % len(hosts))
+	for i := first; i <= last && i < len(hosts); i++ {
 		child := hosts[(root+i)%len(hosts)].Peer
 		d.background(func() {
 			if err := d.Peers.Push(d.ctx, child, p); err != nil {
@@ -80,3 +80,19 @@
 		})
 	}
 }
+
+const (
+	// treeWidth is the number of daemons that each one passes a push on to.
+	treeWidth = 4
+	// rootWidth is smaller, since the root is mostly the leaseholder, which has the most to send already.
+	rootWidth = 2
+)
+
+// children returns the first and the last place in the tree that a place passes a push on to; the root has place 0.
+func children(place int) (first, last int) {
+	if place == 0 {
+		return 1, rootWidth
+	}
+	first = rootWidth + 1 + treeWidth*(place-1)
+	return first, first + treeWidth - 1
+}
--- a/peer.go
+++ b/peer.go
@@ -16,9 +16,9 @@
 
 // Beat is a daemon's heartbeat to its domain's leaseholder.
 type Beat struct {
-	Domain string `json:"d"`
-	Name   string `json:"n"`
-	// Host and Loads are left out while they are what the leaseholder was told last.
+	// Domain, Name, Host, Loads and Sum are left out while they are what the leaseholder was told last.
+	Domain      string `json:"d,omitempty"`
+	Name        string `json:"n,omitempty"`
 	Host        *Host  `json:"h,omitempty"`
 	Incarnation string `json:"i"`
 	// Epoch and Seq name the last view that the daemon heard of.
@@ -30,7 +30,7 @@
 	Held    bool            `json:"o,omitempty"`
 	Leaving bool            `json:"l,omitempty"`
 	Version uint64          `json:"v"`
-	Sum     uint64          `json:"m"`
+	Sum     uint64          `json:"m,omitempty"`
 	Loads   map[string]Load `json:"g,omitempty"`
 	// Totals are the refusal counts of this incarnation that changed since the leaseholder last kept them.
 	Totals []Total `json:"t,omitempty"`
@@ -40,14 +40,14 @@
 type Grant struct {
 	Span Millis `json:"t"`
 	// Lease is the length of leases, and Longest the longest time that a request may run, as the leaseholder counts; they come with a view.
-	Lease   Millis   `json:"y,omitempty"`
-	Longest Millis   `json:"x,omitempty"`
-	Epoch   uint64   `json:"e"`
-	View    *View    `json:"w,omitempty"`
-	Version uint64   `json:"v"`
-	Sum     uint64   `json:"m"`
+	Lease   Millis `json:"y,omitempty"`
+	Longest Millis `json:"x,omitempty"`
+	Epoch   uint64 `json:"e"`
+	View    *View  `json:"w,omitempty"`
+	// Differs tells that the leaseholder has another configuration version or other records.
+	Differs bool     `json:"d,omitempty"`
 	Lost    []string `json:"l,omitempty"`
-	// Again asks for a full heartbeat.
+	// Again asks for a full heartbeat; without an Epoch nothing of this one was taken in.
 	Again bool `json:"r,omitempty"`
 	// Holder is the address of the leaseholder to ask instead, when the answering daemon isn't it.
 	Holder string `json:"h,omitempty"`
