A write larger than a link's window gets its turn

Cause: reading the change again: a head or refusal of 1.5 KB would never fit the window of a share under 15 KB/s, and all behind it would wait for ever. Change: such a write waits for an empty window.

--- a/internal/policy/pacing/book.go
+++ b/internal/policy/pacing/book.go
@@ -30,9 +30,10 @@
 	}
 }
 
-// fits leaves a part of the window to writes that are held up after their last check.
+// fits leaves a part of the window to writes that are held up after their last check. A write that is larger than a whole
+// window waits for an empty one, so that a small share can't hold it up for ever.
 func (b *book) fits(bytes int64) bool {
-	return float64(b.sum+bytes) <= roomParts*b.room
+	return b.sum == 0 || float64(b.sum+bytes) <= roomParts*b.room
 }
 
 func (b *book) charge(bytes int64, now daisygap.Millis) {
--- a/internal/policy/pacing/link_test.go
+++ b/internal/policy/pacing/link_test.go
@@ -160,3 +160,18 @@
 		}
 	}
 }
+
+func TestWriteLargerThanAWindowGetsItsTurn(t *testing.T) {
+	l := &Link{}
+	l.SetShare(1_000, 1_000, 0)
+	ready := false
+	large := &Ticket{Bytes: 1_536, Ready: func() { ready = true }}
+	l.Offer(&Ticket{Bytes: 50, Ready: func() {}}, 1)
+	l.Offer(large, 2)
+	for now := daisygap.Millis(3); now < 2_000; now++ {
+		l.Release(now)
+	}
+	if !ready && !large.done {
+		t.Error("a write larger than the window was never let go")
+	}
+}
