--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -183,11 +183,7 @@
 
 // Waiting returns the number of waiting requests of all kinds.
 func (q *Queue) Waiting() int {
-	n := 0
-	for _, k := range q.kinds {
-		n += len(k.items)
-	}
-	return n
+	return q.WaitingUpTo(daisygap.Background)
 }
 
 // WaitingUpTo returns the number of waiting requests of a rank and of more urgent ones.
@@ -298,11 +294,5 @@
 	if own == nil {
 		return 0
 	}
-	n := 0
-	for _, k := range q.kinds {
-		if k.rule.Rank <= own.rule.Rank {
-			n += len(k.items)
-		}
-	}
-	return n
+	return q.WaitingUpTo(own.rule.Rank)
 }
