--- a/internal/policy/routing/routing_test.go
+++ b/internal/policy/routing/routing_test.go
@@ -70,6 +70,27 @@
 			nil,
 			[]Weighted{{"tbilisi-1", 0.25}, {"tbilisi-2", 0.5}, {"kutaisi-1", 0.125}, {"kutaisi-2", 0.125}},
 		},
+		{
+			"what nobody can take stays in an overload of all", "",
+			map[string]daisygap.Load{"tbilisi-1": {Slots: 30}},
+			map[string]float64{"tbilisi-1": 1, "tbilisi-2": 1, "kutaisi-1": 1, "kutaisi-2": 1, "batumi-1": 1, "batumi-2": 1},
+			nil,
+			[]Weighted{{"tbilisi-1", 0.75}, {"tbilisi-2", 0.25}},
+		},
+		{
+			"a part that nobody can take stays, and burdens no other region", "",
+			map[string]daisygap.Load{"kutaisi-1": {Slots: 10, Running: 5}},
+			map[string]float64{"tbilisi-1": 0.5, "tbilisi-2": 0.5, "kutaisi-2": 1, "batumi-1": 1, "batumi-2": 1},
+			nil,
+			[]Weighted{{"tbilisi-1", 0.375}, {"tbilisi-2", 0.375}, {"kutaisi-1", 0.25}},
+		},
+		{
+			"what nobody can take never stays with a drained domain", `{"drains":{"domains":{"tbilisi-1":true}}}`,
+			nil,
+			map[string]float64{"tbilisi-1": 1, "tbilisi-2": 1, "kutaisi-1": 1, "kutaisi-2": 1, "batumi-1": 1, "batumi-2": 1},
+			nil,
+			[]Weighted{{"tbilisi-2", 1}},
+		},
 		{
 			"a busy domain takes nothing", "",
 			map[string]daisygap.Load{"kutaisi-1": {Slots: 10, Running: 9}},
--- a/internal/policy/routing/split.go
+++ b/internal/policy/routing/split.go
@@ -11,6 +11,8 @@
 const (
 	highPressure = 0.9
 	lowPressure  = 0.75
+	// Weights below this come from rounding.
+	leastWeight = 1e-9
 	// A domain with more than this pressure takes no work that others give away.
 	takePressure = 0.85
 )
@@ -125,10 +127,12 @@
 	group := w.groups[kind]
 	var split []Weighted
 	given, kept := 0.0, 0.0
+	homes := 0
 	for tier, near := range w.order[region] {
 		domains := w.domains[near]
 		if tier == 0 || kept+given == 0 {
 			split, given, kept = w.home(domains, kind, group)
+			homes = len(split)
 			continue
 		}
 		if given <= 0 {
@@ -140,9 +144,47 @@
 			given -= t.Weight
 		}
 	}
+	if given > leastWeight {
+		split = w.keep(split, homes, given, region, kind)
+	}
 	return normalise(split)
 }
 
+// keep leaves with the nearest domains what they would give away and no other can take; without that an overload of all
+// domains would leave a look-up without an answer.
+func (w *World) keep(split []Weighted, homes int, given float64, region, kind string) []Weighted {
+	kept := 0.0
+	for _, s := range split[:homes] {
+		kept += s.Weight
+	}
+	if kept > 0 {
+		for i := range split[:homes] {
+			split[i].Weight *= 1 + given/kept
+		}
+		return split
+	}
+	for _, near := range w.order[region] {
+		var list []Weighted
+		total := 0.0
+		for _, d := range w.domains[near] {
+			r, ok := w.usable(d, kind)
+			slots := float64(w.slots(r, kind))
+			if !ok || slots == 0 || w.State.Config.DomainDrained(d) {
+				continue
+			}
+			list = append(list, Weighted{Domain: d, Weight: slots})
+			total += slots
+		}
+		for _, l := range list {
+			split = append(split, Weighted{Domain: l.Domain, Weight: given * l.Weight / total})
+		}
+		if len(list) > 0 {
+			return split
+		}
+	}
+	return split
+}
+
 // home divides work among the domains of the nearest region that has any, and returns what they give away and keep.
 func (w *World) home(domains []string, kind, group string) (split []Weighted, given, kept float64) {
 	for _, d := range domains {
