--- a/clock.go
+++ b/clock.go
@@ -1,6 +1,8 @@
 package daisygap
 
 import (
+	"fmt"
+	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -13,6 +15,28 @@
 	return time.Duration(m) * time.Millisecond
 }
 
+// UnmarshalJSON reads a span as a number of milliseconds or as text with its unit, such as "2.5s".
+func (m *Millis) UnmarshalJSON(data []byte) error {
+	if string(data) == "null" {
+		return nil
+	}
+	text, err := strconv.Unquote(string(data))
+	if err != nil {
+		n, err := strconv.ParseInt(string(data), 10, 64)
+		if err != nil {
+			return fmt.Errorf("%s is no number of milliseconds", data)
+		}
+		*m = Millis(n)
+		return nil
+	}
+	span, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("%s is no time with its unit", data)
+	}
+	*m = Millis(span / time.Millisecond)
+	return nil
+}
+
 // Clock reads a monotonic clock; the zero value follows the process's own clock.
 type Clock struct {
 	manual *atomic.Int64
--- /dev/null
+++ b/gossip.go
@@ -0,0 +1,49 @@
+package daisygap
+
+// Pulse is one daemon's sign of life, as daemons hand it on.
+type Pulse struct {
+	Peer Peer `json:"p"`
+	// Start is the Unix time in milliseconds of the process's start; Count grows while it lives.
+	Start   int64  `json:"s"`
+	Count   uint64 `json:"c"`
+	Leaving bool   `json:"l,omitempty"`
+	// Ready tells that it has a configuration and takes callers.
+	Ready bool `json:"k,omitempty"`
+	// Revision is the store revision that its copy is up to.
+	Revision uint64 `json:"r,omitempty"`
+}
+
+// CrashReport tells that an upstream's process ended while it ran a request.
+type CrashReport struct {
+	Print    uint64 `json:"p"`
+	Instance string `json:"i"`
+}
+
+// Gossip is what two daemons tell each other in one exchange.
+type Gossip struct {
+	Pulses  []Pulse       `json:"b"`
+	Crashes []CrashReport `json:"x,omitempty"`
+}
+
+// Update is what one daemon hands to another of the store's entries: the changes after a revision, or a full copy.
+type Update struct {
+	Entries []Entry `json:"e,omitempty"`
+	// Revision is what the receiver is up to after it has taken the update in.
+	Revision uint64 `json:"r"`
+	// Full tells that entries which aren't named don't exist.
+	Full bool `json:"f,omitempty"`
+}
+
+// SteeringPeers calls other daemons on the platform.
+type SteeringPeers interface {
+	// Gossip exchanges signs of life.
+	Gossip(address string, g Gossip) (Gossip, error)
+	// Mirror fetches the store's entries that changed after a revision.
+	Mirror(address string, after uint64) (Update, error)
+}
+
+// SteeringService answers other daemons on the platform.
+type SteeringService interface {
+	ServeGossip(g Gossip) Gossip
+	ServeMirror(after uint64) Update
+}
--- /dev/null
+++ b/internal/adapter/forward/doc.go
@@ -0,0 +1,2 @@
+// Package forward prepares the heads of messages that pass through a daemon.
+package forward
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -14,7 +14,9 @@
 // Server answers other daemons; set the fields before Run.
 type Server struct {
 	Service daisygap.PeerService
-	Log     daisygap.Log
+	// Steering answers the calls of daemons on the platform; a daemon has this or Service.
+	Steering daisygap.SteeringService
+	Log      daisygap.Log
 
 	mu    sync.Mutex
 	conns map[*jsonrpc2.Conn]bool
@@ -69,6 +71,9 @@
 	if r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "params are missing"}
 	}
+	if s.Service == nil {
+		return s.handleSteering(r)
+	}
 	switch r.Method {
 	case methodBeat:
 		return answer(r, func(b daisygap.Beat) (daisygap.Grant, error) { return s.Service.ServeBeat(b), nil })
--- /dev/null
+++ b/internal/adapter/peer/steering.go
@@ -0,0 +1,46 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/daisygap/daisygap"
+)
+
+// The methods between daemons on the platform.
+const (
+	methodGossip = "gossip"
+	methodMirror = "mirror"
+)
+
+var _ daisygap.SteeringPeers = (*Client)(nil)
+
+type mirrorCall struct {
+	After uint64 `json:"a"`
+}
+
+// Gossip exchanges signs of life.
+func (c *Client) Gossip(address string, g daisygap.Gossip) (daisygap.Gossip, error) {
+	var answer daisygap.Gossip
+	err := c.call(context.Background(), address, callTimeout, methodGossip, g, &answer)
+	return answer, err
+}
+
+// Mirror fetches the store's entries that changed after a revision.
+func (c *Client) Mirror(address string, after uint64) (daisygap.Update, error) {
+	var u daisygap.Update
+	err := c.call(context.Background(), address, callTimeout, methodMirror, mirrorCall{After: after}, &u)
+	return u, err
+}
+
+func (s *Server) handleSteering(r *jsonrpc2.Request) (any, error) {
+	switch {
+	case s.Steering == nil:
+	case r.Method == methodGossip:
+		return answer(r, func(g daisygap.Gossip) (daisygap.Gossip, error) { return s.Steering.ServeGossip(g), nil })
+	case r.Method == methodMirror:
+		return answer(r, func(c mirrorCall) (daisygap.Update, error) { return s.Steering.ServeMirror(c.After), nil })
+	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+}
--- a/internal/adapter/settings/load.go
+++ b/internal/adapter/settings/load.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"strconv"
 
 	"github.com/sirupsen/logrus"
 
@@ -47,9 +48,13 @@
 			return &daisygap.FieldError{Field: f.name, Want: "a name", Got: `""`}
 		}
 	}
-	for _, f := range []struct{ name, value string }{
-		{"caller", s.Caller}, {"carry", s.Carry}, {"peer", s.Peer}, {"operator", s.Operator},
-	} {
+	faces := []address{{"caller", s.Caller}, {"peer", s.Peer}}
+	if p := s.Steering; p != nil {
+		faces = append(faces, address{"steering.ready", p.Ready}, address{"steering.directory", p.Directory}, address{"steering.metrics", p.Metrics})
+	} else {
+		faces = append(faces, address{"carry", s.Carry}, address{"operator", s.Operator})
+	}
+	for _, f := range faces {
 		if err := checkAddress(f.name, f.value); err != nil {
 			return err
 		}
@@ -67,7 +72,11 @@
 	if u, err := url.Parse(s.Store); err != nil || u.Host == "" {
 		return &daisygap.FieldError{Field: "store", Want: "the URL of the key-value service", Got: `"` + s.Store + `"`}
 	}
-	if s.Token == "" {
+	if s.Steering != nil {
+		if err := checkSteering(s.Steering, s.Domain); err != nil {
+			return err
+		}
+	} else if s.Token == "" {
 		return &daisygap.FieldError{Field: "token", Want: "a bearer token for operators' writes", Got: `""`}
 	}
 	if _, err := logrus.ParseLevel(s.Level); err != nil {
@@ -79,6 +88,20 @@
 	return nil
 }
 
+type address struct{ name, value string }
+
+func checkSteering(s *daisygap.SteeringSettings, domain string) error {
+	switch {
+	case s.Domains[domain] == "":
+		return &daisygap.FieldError{Field: "steering.domains", Want: "the region of each domain, also of " + domain, Got: ""}
+	case s.RetryRatio < 0 || s.RetryRatio > 1:
+		return &daisygap.FieldError{Field: "steering.ratio", Want: "a part from 0 to 1", Got: strconv.FormatFloat(s.RetryRatio, 'g', -1, 64)}
+	case s.Grace <= 0:
+		return &daisygap.FieldError{Field: "steering.grace", Want: "a time over 0", Got: strconv.FormatInt(int64(s.Grace), 10)}
+	}
+	return nil
+}
+
 func checkAddress(field, value string) error {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		return &daisygap.FieldError{Field: field, Want: "an IP address and port", Got: `"` + value + `"`}
--- a/internal/adapter/store/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package store speaks to the platform's key-value service over HTTP and JSON.
-package store
--- a/internal/adapter/upstream/client.go
+++ b/internal/adapter/upstream/client.go
@@ -53,6 +53,11 @@
 	}}
 }
 
+// KeepIdle sets how long an unused connection is kept, before the first request.
+func (c *Client) KeepIdle(span daisygap.Millis) {
+	c.transport.IdleConnTimeout = span.Duration()
+}
+
 // Close drops idle connections.
 func (c *Client) Close() {
 	c.transport.CloseIdleConnections()
--- a/internal/command/serve/serve.go
+++ b/internal/command/serve/serve.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"net/http"
@@ -15,12 +16,15 @@
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/adapter/peer"
 	"github.com/daisygap/daisygap/internal/adapter/settings"
-	"github.com/daisygap/daisygap/internal/adapter/store"
 	"github.com/daisygap/daisygap/internal/adapter/upstream"
 	"github.com/daisygap/daisygap/internal/command/term"
 	"github.com/daisygap/daisygap/internal/daemon/entry"
+	"github.com/daisygap/daisygap/platform"
 )
 
+// settingsVariable names the settings file where no flag does.
+const settingsVariable = "DAISYGAP_CONFIG"
+
 const pruneSpan = 30 * time.Second
 
 // Command is daisygap serve.
@@ -43,7 +47,7 @@
 
 // SetFlags defines the flags.
 func (c *Command) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.file, "settings", "host.json", "the host's settings file")
+	f.StringVar(&c.file, "settings", cmp.Or(os.Getenv(settingsVariable), "host.json"), "the host's settings file")
 }
 
 // Execute runs the daemon.
@@ -52,6 +56,9 @@
 	if err != nil {
 		return c.Output.Fail(err)
 	}
+	if s.Steering != nil {
+		return c.steer(ctx, s)
+	}
 	faces, run, err := build(s, c.logger(s))
 	if err != nil {
 		return c.Output.Fail(err)
@@ -86,7 +93,7 @@
 	peers := &peer.Client{TLS: client}
 	d := &entry.Daemon{
 		Settings: s, Clock: &daisygap.Clock{},
-		Store:    &store.Client{Base: s.Store, Host: s.Host, HTTP: &http.Client{}},
+		Store:    &platform.Store{Base: s.Store, Host: s.Host, HTTP: &http.Client{}},
 		Peers:    peers,
 		Upstream: upstream.NewClient(nil, nil),
 		Carry:    upstream.NewClient(client, nil),
--- a/internal/daemon/entry/carry.go
+++ b/internal/daemon/entry/carry.go
@@ -14,6 +14,7 @@
 
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/adapter/caller"
+	"github.com/daisygap/daisygap/internal/adapter/forward"
 	"github.com/daisygap/daisygap/internal/adapter/upstream"
 	"github.com/daisygap/daisygap/internal/policy/balance"
 	"github.com/daisygap/daisygap/internal/policy/routing"
@@ -347,7 +348,7 @@
 func (e *exchange) outbound(address string) *http.Request {
 	in := e.in.HTTP
 	out := &http.Request{
-		Method: in.Method, URL: cloneURL(in, address), Host: in.Host, Header: forwardHeader(in.Header),
+		Method: in.Method, URL: forward.URL(in, address), Host: in.Host, Header: forwardHeader(in.Header),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if body, length := e.in.Body(); length != 0 {
--- a/internal/daemon/entry/configuration.go
+++ b/internal/daemon/entry/configuration.go
@@ -13,7 +13,6 @@
 const (
 	versionPrefix = "config/v/"
 	snapshotKey   = "config/snapshot"
-	listLimit     = 500
 	// History that a daemon keeps to send deltas to others.
 	maxRecent      = 1024
 	maxRecentBytes = 2 << 20
@@ -179,7 +178,7 @@
 // readVersions applies the versions in the store after the own one and returns the store's revision.
 func (d *Daemon) readVersions(ctx context.Context) (uint64, error) {
 	for {
-		batch, err := d.Store.List(ctx, versionPrefix, versionKey(d.Version()), listLimit)
+		batch, err := d.Store.List(ctx, versionPrefix, versionKey(d.Version()))
 		if err != nil {
 			return 0, err
 		}
@@ -194,7 +193,7 @@
 			continue
 		}
 		d.spreadPatches(d.applyPatches(patches))
-		if len(batch.Entries) < listLimit {
+		if !batch.More {
 			return batch.Revision, nil
 		}
 	}
@@ -203,6 +202,9 @@
 func decodePatches(entries []daisygap.Entry) ([]daisygap.Patch, error) {
 	var patches []daisygap.Patch
 	for _, e := range entries {
+		if e.Deleted {
+			continue
+		}
 		var p daisygap.Patch
 		if err := json.Unmarshal(e.Value, &p); err != nil {
 			return nil, daisygap.Fail("read version", e.Key, err)
@@ -283,7 +285,7 @@
 
 // trim deletes versions up to the snapshot before the last, slowly enough to leave the store's writes to others.
 func (d *Daemon) trim(ctx context.Context, upTo uint64) error {
-	batch, err := d.Store.List(ctx, versionPrefix, "", listLimit)
+	batch, err := d.Store.List(ctx, versionPrefix, "")
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/entry/operations.go
+++ b/internal/daemon/entry/operations.go
@@ -86,7 +86,7 @@
 	}
 	patches, far := d.versions.since(since, d.Version())
 	if far {
-		batch, err := d.Store.List(ctx, versionPrefix, versionKey(since), listLimit)
+		batch, err := d.Store.List(ctx, versionPrefix, versionKey(since))
 		if err != nil {
 			return nil, true, err
 		}
--- a/internal/daemon/entry/tally.go
+++ b/internal/daemon/entry/tally.go
@@ -203,7 +203,7 @@
 
 // trimTotals deletes one old minute at a time.
 func (d *Daemon) trimTotals(ctx context.Context, before int64) {
-	batch, err := d.Store.List(ctx, totalsPrefix+d.Settings.Domain+"/", "", 1)
+	batch, err := d.Store.List(ctx, totalsPrefix+d.Settings.Domain+"/", "")
 	if err != nil || len(batch.Entries) == 0 || batch.Entries[0].Key >= d.totalsKey(before) {
 		return
 	}
@@ -318,7 +318,7 @@
 	var list []daisygap.Total
 	after := ""
 	for {
-		batch, err := d.Store.List(ctx, totalsPrefix, after, listLimit)
+		batch, err := d.Store.List(ctx, totalsPrefix, after)
 		if err != nil {
 			return list, err
 		}
@@ -326,7 +326,7 @@
 			list = append(list, sumStored(e)...)
 			after = e.Key
 		}
-		if len(batch.Entries) < listLimit {
+		if !batch.More {
 			return list, nil
 		}
 	}
--- /dev/null
+++ b/internal/daemon/steer/daemon.go
@@ -0,0 +1,135 @@
+package steer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/upstream"
+	"github.com/daisygap/daisygap/internal/policy/placement"
+	"github.com/daisygap/daisygap/internal/policy/route"
+)
+
+// ErrStopped is returned by Wait after a graceful stop that had to cut requests off.
+var ErrStopped = errors.New("requests were cut off")
+
+// Daemon is one entry host on the platform; set the fields before Run.
+type Daemon struct {
+	Settings  *daisygap.Settings
+	Clock     *daisygap.Clock
+	Store     daisygap.Store
+	Peers     daisygap.SteeringPeers
+	Upstream  *upstream.Client
+	Protocol  daisygap.Protocol
+	Catalogue daisygap.Catalogue
+	Log       daisygap.Log
+
+	ctx      context.Context
+	group    sync.WaitGroup
+	inFlight sync.WaitGroup
+	flying   atomic.Int64
+	stopping atomic.Bool
+
+	view     atomic.Pointer[view]
+	fleet    placement.Fleet
+	splitter route.Splitter
+
+	copy    storeCopy
+	members members
+	budgets budgets
+	crashes crashes
+	lease   registration
+	events  eventLimits
+}
+
+// view is what the request path reads; it doesn't change once it is set.
+type view struct {
+	steering *daisygap.Steering
+	table    *route.Table
+	revision uint64
+}
+
+// Run starts the control parts; they end when the context does.
+func (d *Daemon) Run(ctx context.Context) {
+	d.ctx = ctx
+	s := d.Settings
+	d.fleet = placement.Fleet{Name: s.Host, Region: s.Region, Domain: s.Domain, Regions: s.Steering.Domains}
+	d.members.roster.Self = daisygap.Pulse{
+		Peer: daisygap.Peer{
+			Name: s.Host, Domain: s.Domain, Region: s.Region, Caller: s.Caller, Address: s.Peer,
+			Incarnation: strconv.FormatUint(rand.Uint64(), 36),
+		},
+		Start: int64(d.Clock.Wall()),
+	}
+	d.budgets.ratio, d.budgets.slack, d.budgets.window = s.Steering.RetryRatio, s.Steering.RetrySlack, s.Steering.RetryWindow
+	d.nameDaemons()
+	d.Log.Event("start", daisygap.Fields{"host": s.Host, "domain": s.Domain, "region": s.Region, "run": d.members.roster.Self.Peer.Incarnation})
+	for _, part := range []func(){d.runWatch, d.runFollow, d.runRegister, d.runGossip, d.runTicks} {
+		d.group.Go(part)
+	}
+}
+
+// Wait returns when all control parts have ended after the context of Run.
+func (d *Daemon) Wait() {
+	d.group.Wait()
+}
+
+// Ready tells whether the daemon takes callers.
+func (d *Daemon) Ready() bool {
+	return d.view.Load() != nil && !d.stopping.Load()
+}
+
+// Leave takes the daemon out of the look-ups: its peers are told at once, and its entry in the store ends.
+func (d *Daemon) Leave() {
+	d.stopping.Store(true)
+	d.Log.Event("stop", daisygap.Fields{"in_flight": d.flying.Load()})
+	d.group.Go(d.farewell)
+}
+
+// Drained waits for the requests in flight, and returns how many were left when the context ended.
+func (d *Daemon) Drained(ctx context.Context) int64 {
+	done := make(chan struct{})
+	go func() {
+		d.inFlight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	return d.flying.Load()
+}
+
+// pause waits for a span, and reports false when the daemon ends.
+func (d *Daemon) pause(span daisygap.Millis) bool {
+	timer := time.NewTimer(span.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-d.ctx.Done():
+		return false
+	}
+}
+
+// jitter returns a span between three quarters and five quarters of the given one.
+func jitter(span daisygap.Millis) daisygap.Millis {
+	return span*3/4 + daisygap.Millis(rand.Int64N(int64(span)/2+1))
+}
+
+// runTicks adjusts the regions' shares, and drops entries that lapsed while the store was away.
+func (d *Daemon) runTicks() {
+	for d.pause(placement.TickSpan) {
+		now := d.Clock.Now()
+		for _, p := range d.fleet.Pools() {
+			p.Tick(now)
+		}
+		d.expireLapsed(now)
+		d.nameDaemons()
+	}
+}
--- /dev/null
+++ b/internal/daemon/steer/watch.go
@@ -0,0 +1,216 @@
+package steer
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/daisygap/daisygap"
+)
+
+const (
+	// watchSpan is how long one watch waits; a longer one saves calls but hides a silent connection for longer.
+	watchSpan = daisygap.Millis(8_000)
+	// retrySpan is the pause after a failed call to the store.
+	retrySpan = daisygap.Millis(800)
+	// leaseSpan is the length of the lease of a daemon's entry, and renewSpan the time between two renewals.
+	leaseSpan = daisygap.Millis(15_000)
+	renewSpan = daisygap.Millis(4_000)
+)
+
+var storeReachable atomicGauge
+
+// registration is the daemon's own entry in the store.
+type registration struct {
+	mu       sync.Mutex
+	name     string
+	revision uint64
+	// lost tells that the entry ended though the lease seemed to live.
+	lost bool
+	// restart ends the watch that is waiting.
+	restart context.CancelFunc
+	reached bool
+}
+
+// runWatch keeps the copy up to the store.
+func (d *Daemon) runWatch() {
+	loaded := false
+	for d.ctx.Err() == nil {
+		var err error
+		if !loaded {
+			err = d.load()
+			loaded = err == nil
+		} else {
+			err = d.watch()
+		}
+		switch {
+		case err == nil:
+			d.noteStore(true, nil)
+		case errors.Is(err, daisygap.ErrCompacted):
+			loaded = false
+		case errors.Is(err, context.Canceled):
+		default:
+			d.noteStore(false, err)
+			d.pause(jitter(retrySpan))
+		}
+	}
+}
+
+// load reads all entries; pages aren't a snapshot, so the copy is only as new as the first.
+func (d *Daemon) load() error {
+	var u daisygap.Update
+	after := ""
+	for {
+		b, err := d.Store.List(d.ctx, "", after)
+		if err != nil {
+			return err
+		}
+		if u.Revision == 0 {
+			u.Revision = b.Revision
+		}
+		u.Entries = append(u.Entries, b.Entries...)
+		if !b.More || len(b.Entries) == 0 {
+			break
+		}
+		after = b.Entries[len(b.Entries)-1].Key
+	}
+	u.Full = true
+	d.apply(u, "store")
+	return nil
+}
+
+func (d *Daemon) watch() error {
+	ctx, cancel := context.WithCancel(d.ctx)
+	defer cancel()
+	d.lease.mu.Lock()
+	d.lease.restart = cancel
+	d.lease.mu.Unlock()
+	b, err := d.Store.Watch(ctx, "", d.revision(), watchSpan)
+	if err != nil {
+		return err
+	}
+	d.apply(daisygap.Update{Entries: b.Entries, Revision: b.Revision}, "store")
+	return nil
+}
+
+// restartWatch ends a watch that missed changes which others saw.
+func (d *Daemon) restartWatch() {
+	d.lease.mu.Lock()
+	defer d.lease.mu.Unlock()
+	if d.lease.restart != nil {
+		d.lease.restart()
+	}
+}
+
+// noteStore logs when the store is lost or regained.
+func (d *Daemon) noteStore(reached bool, cause error) {
+	d.lease.mu.Lock()
+	was := d.lease.reached
+	d.lease.reached = reached
+	d.lease.mu.Unlock()
+	if !reached {
+		d.copy.mu.Lock()
+		d.copy.trouble = d.Clock.Now()
+		d.copy.mu.Unlock()
+	}
+	switch {
+	case reached && !was:
+		storeReachable.set(1)
+		d.Log.Event("store reached", daisygap.Fields{"revision": d.revision()})
+	case !reached && was:
+		storeReachable.set(0)
+		d.Log.Event("store lost", daisygap.Fields{"error": cause.Error(), "revision": d.revision()})
+	}
+}
+
+// runRegister keeps the daemon's own entry, by which others find it.
+func (d *Daemon) runRegister() {
+	for d.ctx.Err() == nil && !d.stopping.Load() {
+		if err := d.register(); err != nil {
+			d.noteStore(false, err)
+			d.pause(jitter(2 * retrySpan))
+			continue
+		}
+		d.pause(renewSpan)
+	}
+}
+
+func (d *Daemon) register() error {
+	d.lease.mu.Lock()
+	name, lost := d.lease.name, d.lease.lost
+	d.lease.mu.Unlock()
+	if name != "" && !lost {
+		err := d.Store.Renew(d.ctx, name)
+		if !errors.Is(err, daisygap.ErrLapsed) {
+			return err
+		}
+		metrics.GetOrCreateCounter(`daisygap_lapses_total`).Inc()
+		d.Log.Event("lease lapsed", daisygap.Fields{"lease": name})
+		d.forgetLease()
+	}
+	return d.writeEntry(name)
+}
+
+// forgetLease makes the next registration take a new lease.
+func (d *Daemon) forgetLease() {
+	d.lease.mu.Lock()
+	defer d.lease.mu.Unlock()
+	d.lease.name = ""
+}
+
+// writeEntry puts the daemon's entry under a lease; an earlier lease that still lives is used again.
+func (d *Daemon) writeEntry(lease string) error {
+	key := d.Catalogue.PeerKey(d.Settings.Host)
+	if lease == "" {
+		var err error
+		if lease, err = d.Store.Grant(d.ctx, leaseSpan); err != nil {
+			return err
+		}
+		d.lease.mu.Lock()
+		d.lease.name = lease
+		d.lease.mu.Unlock()
+	}
+	current, err := d.Store.Get(d.ctx, key)
+	if err != nil {
+		return err
+	}
+	value, err := encodePeer(d.members.self().Peer)
+	if err != nil {
+		return err
+	}
+	_, err = d.Store.Swap(d.ctx, key, value, current.Revision, lease)
+	switch {
+	case errors.Is(err, daisygap.ErrLapsed):
+		d.forgetLease()
+	case err == nil:
+		d.lease.mu.Lock()
+		d.lease.lost = false
+		d.lease.mu.Unlock()
+	}
+	return err
+}
+
+// notePeerEnded has the own entry written again when it was taken away.
+func (d *Daemon) notePeerEnded(key string) {
+	if key != d.Catalogue.PeerKey(d.Settings.Host) {
+		return
+	}
+	d.lease.mu.Lock()
+	defer d.lease.mu.Unlock()
+	d.lease.lost = true
+}
+
+// endLease ends the daemon's entry.
+func (d *Daemon) endLease() {
+	d.lease.mu.Lock()
+	name := d.lease.name
+	d.lease.mu.Unlock()
+	if name == "" {
+		return
+	}
+	if err := d.Store.Revoke(d.ctx, name); err != nil {
+		d.Log.Event("lease kept", daisygap.Fields{"error": err.Error()})
+	}
+}
--- /dev/null
+++ b/internal/policy/mirror/mirror.go
@@ -0,0 +1,137 @@
+package mirror
+
+import (
+	"sort"
+
+	"github.com/daisygap/daisygap"
+)
+
+// maxLog is the number of changes kept for other daemons; a daemon that lags further takes a full copy.
+const maxLog = 1_000
+
+// Mirror is a copy of the store as of a revision; it is not safe for concurrent use.
+type Mirror struct {
+	entries map[string]daisygap.Entry
+	// removed holds the revisions of deletions, so that an older write can't bring an entry back.
+	removed  map[string]uint64
+	log      []daisygap.Entry
+	logStart uint64
+	revision uint64
+}
+
+// Revision returns the revision up to which the copy is complete; 0 before the first full copy.
+func (m *Mirror) Revision() uint64 {
+	return m.revision
+}
+
+// Entries returns the entries in the order of their keys.
+func (m *Mirror) Entries() []daisygap.Entry {
+	list := make([]daisygap.Entry, 0, len(m.entries))
+	for _, e := range m.entries {
+		list = append(list, e)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	return list
+}
+
+// Entry returns the entry of a key; a missing one has revision 0.
+func (m *Mirror) Entry(key string) daisygap.Entry {
+	return m.entries[key]
+}
+
+// Apply takes an update in and returns what changed; changes older than what is known are passed over.
+func (m *Mirror) Apply(u daisygap.Update) []daisygap.Entry {
+	if m.entries == nil {
+		m.entries = make(map[string]daisygap.Entry)
+		m.removed = make(map[string]uint64)
+	}
+	var changed []daisygap.Entry
+	named := make(map[string]bool)
+	for _, e := range u.Entries {
+		named[e.Key] = true
+		if m.put(e) {
+			changed = append(changed, e)
+		}
+	}
+	if u.Full {
+		changed = append(changed, m.dropUnnamed(named, u.Revision)...)
+	}
+	m.record(changed, u)
+	m.revision = max(m.revision, u.Revision)
+	return changed
+}
+
+// put reports whether an entry is newer than what is known.
+func (m *Mirror) put(e daisygap.Entry) bool {
+	if e.Revision <= m.entries[e.Key].Revision || e.Revision <= m.removed[e.Key] {
+		return false
+	}
+	if e.Deleted {
+		_, known := m.entries[e.Key]
+		delete(m.entries, e.Key)
+		m.removed[e.Key] = e.Revision
+		m.prune()
+		return known
+	}
+	delete(m.removed, e.Key)
+	m.entries[e.Key] = e
+	return true
+}
+
+// dropUnnamed deletes what a full copy doesn't hold and wasn't written after it.
+func (m *Mirror) dropUnnamed(named map[string]bool, revision uint64) []daisygap.Entry {
+	var gone []daisygap.Entry
+	for key, e := range m.entries {
+		if !named[key] && e.Revision <= revision {
+			delete(m.entries, key)
+			m.removed[key] = revision
+			gone = append(gone, daisygap.Entry{Key: key, Revision: revision, Deleted: true})
+		}
+	}
+	sort.Slice(gone, func(i, j int) bool { return gone[i].Key < gone[j].Key })
+	return gone
+}
+
+// prune forgets old deletions; an entry that old can only come from a copy that is older still, which Since never sends.
+func (m *Mirror) prune() {
+	if len(m.removed) <= 2*maxLog {
+		return
+	}
+	for key, revision := range m.removed {
+		if revision < m.logStart {
+			delete(m.removed, key)
+		}
+	}
+}
+
+// record keeps the changes for other daemons; after a full copy the history starts anew.
+func (m *Mirror) record(changed []daisygap.Entry, u daisygap.Update) {
+	if u.Full {
+		if u.Revision > m.revision {
+			m.log, m.logStart = nil, u.Revision
+		}
+		return
+	}
+	m.log = append(m.log, changed...)
+	if over := len(m.log) - maxLog; over > 0 {
+		m.logStart = m.log[over-1].Revision
+		m.log = append([]daisygap.Entry(nil), m.log[over:]...)
+	}
+}
+
+// Since returns what a daemon that is up to a revision lacks.
+func (m *Mirror) Since(revision uint64) daisygap.Update {
+	if revision >= m.revision {
+		return daisygap.Update{Revision: m.revision}
+	}
+	if revision < m.logStart || revision == 0 {
+		return daisygap.Update{Entries: m.Entries(), Revision: m.revision, Full: true}
+	}
+	u := daisygap.Update{Revision: m.revision}
+	for _, e := range m.log {
+		if e.Revision > revision {
+			u.Entries = append(u.Entries, e)
+		}
+	}
+	return u
+}
--- /dev/null
+++ b/internal/policy/placement/pool.go
@@ -0,0 +1,353 @@
+package placement
+
+import (
+	"math"
+	"sort"
+	"sync"
+
+	"github.com/daisygap/daisygap"
+)
+
+const (
+	// troubleSpan is how long after a change of the pool's upstreams requests may leave their region without limit.
+	troubleSpan = daisygap.Millis(5_000)
+	// spillShare is the part of the requests that may leave their region at once, in calm times.
+	spillShare = 0.04
+	// maxSpill bounds the saved leave to spill.
+	maxSpill = 6
+	// onTimeShare is the part of the spare time that a queue may use; load reports lag.
+	onTimeShare = 0.7
+	// remoteTrip is the round trip to another region in ms, before one was measured.
+	remoteTrip = 70
+	// poorShare bounds the part of a pool that may be left out for failing.
+	poorShare = 0.4
+)
+
+// lateShare is the longest queue, in service times, for a request that can't be on time, by rank.
+var lateShare = [...]float64{1, 0.8, 0.6}
+
+// Query is one request that looks for an upstream.
+type Query struct {
+	Route *daisygap.Route
+	// Object is the hash of the affinity key; HasObject tells whether there is one.
+	Object    uint64
+	HasObject bool
+	// Elapsed is the time since the request came in, and Left the time until its deadline.
+	Elapsed daisygap.Millis
+	Left    daisygap.Millis
+	// Tried names the upstreams that had the request already.
+	Tried map[*Upstream]bool
+}
+
+// Verdict says why a choice came out as it did.
+type Verdict string
+
+// The verdicts of a choice; the last four are refusals.
+const (
+	Owner     Verdict = "owner"
+	Second    Verdict = "second"
+	Spilled   Verdict = "spilled"
+	Late      Verdict = "late"
+	Trickle   Verdict = "cold"
+	Full      Verdict = "full"
+	Down      Verdict = "down"
+	Empty     Verdict = "empty"
+	Forbidden Verdict = "forbidden"
+)
+
+// Choice is the outcome for one request; Upstream is nil for a refusal.
+type Choice struct {
+	Upstream *Upstream
+	Verdict  Verdict
+	// Load and Wait are the estimates for the chosen or the best upstream, Wait in ms.
+	Load float64
+	Wait float64
+	// Retry is when a slot is expected, for a refusal.
+	Retry daisygap.Millis
+	// owner tells that the upstream holds the object for its region.
+	owner bool
+}
+
+// Pool holds the upstreams of one pool; it is safe for concurrent use.
+type Pool struct {
+	// Region and Domain are this daemon's own.
+	Region string
+	Domain string
+
+	mu        sync.Mutex
+	limits    daisygap.PoolLimits
+	upstreams []*Upstream
+	// shareOf returns this daemon's part of the rate that a cold upstream bears.
+	shareOf func(id string, rate float64) float64
+	// stay is the part of the objects that the own region serves.
+	stay    float64
+	started bool
+	spill   float64
+	// troubled is until when requests may leave their region without limit.
+	troubled daisygap.Millis
+	trips    map[string]float64
+	times    map[string]*times
+}
+
+// times are the mean service times of a route in ms, with and without the object at hand.
+type times struct {
+	warm float64
+	cold float64
+}
+
+// replace sets the upstreams that may get new work.
+func (p *Pool) replace(limits daisygap.PoolLimits, list []*Upstream, now daisygap.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits = limits
+	if !sameUpstreams(p.upstreams, list) && p.started {
+		p.troubled = now + troubleSpan
+	}
+	p.upstreams = list
+	if !p.started && len(list) > 0 {
+		p.started = true
+		p.stay = p.fairStay()
+	}
+}
+
+func sameUpstreams(a, b []*Upstream) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Choose finds an upstream and counts the request there, or refuses; call Done for each upstream that it returns.
+func (p *Pool) Choose(q Query, now daisygap.Millis) Choice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.choose(q, now)
+	if c.Upstream != nil {
+		c.Upstream.inFlight++
+	}
+	return c
+}
+
+func (p *Pool) choose(q Query, now daisygap.Millis) Choice {
+	p.spill = min(maxSpill, p.spill+spillShare)
+	able, cold, verdict := p.candidates(q, now)
+	if len(able) == 0 {
+		return p.trickle(cold, verdict, now)
+	}
+	s := p.search(q, able, now)
+	for _, try := range []func() (Choice, bool){s.owner, s.spilled, s.second, s.late} {
+		if c, ok := try(); ok {
+			return c
+		}
+	}
+	if c := p.trickle(cold, Full, now); c.Upstream != nil {
+		return c
+	}
+	return s.refusal()
+}
+
+// candidates returns the upstreams that may serve a query, apart from the cold ones, and why there are none.
+func (p *Pool) candidates(q Query, now daisygap.Millis) (able, cold []*Upstream, verdict Verdict) {
+	verdict = Empty
+	for _, u := range p.upstreams {
+		switch {
+		case !allowed(q.Route.Homes, u.Region):
+			if verdict == Empty {
+				verdict = Forbidden
+			}
+		case q.Tried[u] || u.isDown(now):
+			verdict = Down
+		case u.isCold(now):
+			cold = append(cold, u)
+		default:
+			able = append(able, u)
+		}
+	}
+	return withoutPoor(able), cold, verdict
+}
+
+func allowed(homes []string, region string) bool {
+	if len(homes) == 0 {
+		return true
+	}
+	for _, h := range homes {
+		if h == region {
+			return true
+		}
+	}
+	return false
+}
+
+// withoutPoor leaves out upstreams that fail much of their work, unless too many do.
+func withoutPoor(list []*Upstream) []*Upstream {
+	var good []*Upstream
+	for _, u := range list {
+		if u.failures < poorFailures {
+			good = append(good, u)
+		}
+	}
+	if float64(len(list)-len(good)) > poorShare*float64(len(list)) {
+		return list
+	}
+	return good
+}
+
+// trickle gives a cold upstream one of the few requests that it bears.
+func (p *Pool) trickle(cold []*Upstream, verdict Verdict, now daisygap.Millis) Choice {
+	best := Choice{Verdict: verdict, Retry: retryLeast}
+	if len(cold) > 0 && verdict != Full {
+		best.Verdict = Full
+	}
+	for _, u := range cold {
+		share := p.coldShare(u)
+		if share <= 0 || now < u.nextCold || u.load(now) >= float64(u.Slots) {
+			continue
+		}
+		u.nextCold = now + daisygap.Millis(math.Ceil(1_000/(p.limits.ColdRate*share)))
+		return Choice{Upstream: u, Verdict: Trickle, Load: u.load(now)}
+	}
+	return best
+}
+
+// coldShare is this daemon's part of what a cold upstream bears.
+func (p *Pool) coldShare(u *Upstream) float64 {
+	if p.shareOf == nil || p.limits.ColdRate <= 0 {
+		return 0
+	}
+	return p.shareOf(u.ID, p.limits.ColdRate)
+}
+
+// Done takes in how a request at an upstream ended.
+func (p *Pool) Done(c Choice, route string, o Outcome, now daisygap.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := c.Upstream
+	if o.Load != nil {
+		u.report(o.Load, now)
+	}
+	u.inFlight--
+	if o.Trip > 0 {
+		p.measureTrip(u.Region, o.Trip)
+	}
+	switch o.Result {
+	case Unreached:
+		u.unreached++
+		u.downUntil = now + min(downSpan<<min(u.unreached-1, 4), maxDownSpan)
+		p.troubled = now + troubleSpan
+	case Answered:
+		p.answered(c, route, o, now)
+		u.failures -= failureGain * u.failures
+	case Failed:
+		u.failures += failureGain * (1 - u.failures)
+	case Shed:
+		// A full upstream sheds for good reason; one that isn't fails.
+		if u.load(now)+1 < float64(u.Slots) {
+			u.failures += failureGain * (1 - u.failures)
+		}
+		u.others = max(u.others, float64(u.Slots))
+		u.reported = now
+	case Gone:
+		u.downUntil = now + maxDownSpan
+	case Dropped:
+	}
+}
+
+// answered updates the service times, and takes an upstream that was unreachable for one that has just started.
+func (p *Pool) answered(c Choice, route string, o Outcome, now daisygap.Millis) {
+	u := c.Upstream
+	if u.unreached > 0 {
+		u.unreached = 0
+		u.setCold(p.limits.ColdSpan, now)
+	}
+	t := p.timesOf(route)
+	held := max(1, float64(o.Took)-c.Wait-p.trip(u))
+	if u.service == 0 {
+		u.service = held
+	}
+	u.service += serviceGain * (held - u.service)
+	if c.Verdict == Trickle {
+		return
+	}
+	mean := &t.cold
+	if c.owner {
+		mean = &t.warm
+	}
+	if *mean == 0 {
+		*mean = held
+	}
+	*mean += serviceGain * (held - *mean)
+}
+
+func (p *Pool) timesOf(route string) *times {
+	t := p.times[route]
+	if t == nil {
+		if p.times == nil {
+			p.times = make(map[string]*times)
+		}
+		t = &times{}
+		p.times[route] = t
+	}
+	return t
+}
+
+// trip returns the round trip to an upstream in ms.
+func (p *Pool) trip(u *Upstream) float64 {
+	if u.Region == p.Region {
+		return 0
+	}
+	if t, ok := p.trips[u.Region]; ok {
+		return t
+	}
+	return remoteTrip
+}
+
+// measureTrip keeps the shortest time of opening a connection to a region.
+func (p *Pool) measureTrip(region string, took daisygap.Millis) {
+	if p.trips == nil {
+		p.trips = make(map[string]float64)
+	}
+	if t, ok := p.trips[region]; !ok || float64(took) < t {
+		p.trips[region] = float64(took)
+	}
+}
+
+// Result is how a request at an upstream ended.
+type Result int
+
+// The results; Dropped is one that tells nothing of the upstream.
+const (
+	Answered Result = iota
+	Failed
+	Shed
+	Unreached
+	Gone
+	Dropped
+)
+
+// Outcome is what a request tells of its upstream.
+type Outcome struct {
+	Result Result
+	// Took is the time from sending to the whole answer; Trip is the time of opening a connection, or 0.
+	Took daisygap.Millis
+	Trip daisygap.Millis
+	Load *daisygap.LoadReport
+}
+
+// Regions returns the regions of the pool's upstreams in order.
+func (p *Pool) regions() []string {
+	seen := make(map[string]bool)
+	var list []string
+	for _, u := range p.upstreams {
+		if !seen[u.Region] {
+			seen[u.Region] = true
+			list = append(list, u.Region)
+		}
+	}
+	sort.Strings(list)
+	return list
+}
--- /dev/null
+++ b/internal/policy/placement/search.go
@@ -0,0 +1,210 @@
+package placement
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/daisygap/daisygap"
+)
+
+const (
+	// retryLeast and retryMost bound the advice when to come back, in ms.
+	retryLeast = daisygap.Millis(50)
+	retryMost  = daisygap.Millis(1_000)
+)
+
+// search is the choice for one query among the upstreams that can take it.
+type search struct {
+	p    *Pool
+	q    Query
+	now  daisygap.Millis
+	able []*Upstream
+	home string
+	// owners are the upstreams that hold the object, the one of the home first.
+	owners []*Upstream
+	// service is the expected time in a slot in ms, with the object at hand.
+	service float64
+	coldly  float64
+}
+
+func (p *Pool) search(q Query, able []*Upstream, now daisygap.Millis) *search {
+	s := &search{p: p, q: q, now: now, able: able}
+	t := p.timesOf(q.Route.Name)
+	s.service, s.coldly = t.warm, t.cold
+	if s.service == 0 {
+		s.service = float64(q.Route.Target) / 2
+	}
+	if s.coldly == 0 {
+		s.coldly = 2 * s.service
+	}
+	s.home = p.homeOf(q, able)
+	s.owners = s.findOwners()
+	return s
+}
+
+// findOwners returns the upstream of each region that serves the object, the home's first; bulk answers stay in the own domain.
+func (s *search) findOwners() []*Upstream {
+	best := make(map[string]*Upstream)
+	for _, u := range s.able {
+		if b := best[u.Region]; b == nil || s.before(u, b) {
+			best[u.Region] = u
+		}
+	}
+	var list []*Upstream
+	if u := best[s.home]; u != nil {
+		if s.q.Route.Bulk && s.home == s.p.Region {
+			list = s.appendLocal(list)
+		}
+		list = append(list, u)
+	}
+	for _, region := range s.p.regions() {
+		if u := best[region]; u != nil && region != s.home {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+// appendLocal adds the upstream of the own domain that serves the object.
+func (s *search) appendLocal(list []*Upstream) []*Upstream {
+	var best *Upstream
+	for _, u := range s.able {
+		if u.Domain == s.p.Domain && (best == nil || s.before(u, best)) {
+			best = u
+		}
+	}
+	if best == nil {
+		return list
+	}
+	return append(list, best)
+}
+
+// before orders upstreams for the query: by affinity, or by load where there is none.
+func (s *search) before(a, b *Upstream) bool {
+	if s.q.HasObject && s.q.Route.Affinity {
+		return a.score(s.q.Object) > b.score(s.q.Object)
+	}
+	la, lb := a.load(s.now)/float64(a.Slots), b.load(s.now)/float64(b.Slots)
+	if la != lb {
+		return la < lb
+	}
+	return a.score(s.q.Object) > b.score(s.q.Object)
+}
+
+// spare is the time in ms that a request may wait at an upstream and still be on time.
+func (s *search) spare(u *Upstream, service float64) float64 {
+	return float64(s.q.Route.Target-s.q.Elapsed) - service - s.p.trip(u)
+}
+
+func (s *search) fits(u *Upstream, service float64) bool {
+	wait := u.wait(s.now, s.service)
+	return wait == 0 && s.spare(u, service) > 0 || wait <= onTimeShare*s.spare(u, service)
+}
+
+func (s *search) pick(u *Upstream, v Verdict, owner bool) (Choice, bool) {
+	return Choice{Upstream: u, Verdict: v, Load: u.load(s.now), Wait: u.wait(s.now, s.service), owner: owner}, true
+}
+
+// owner takes the upstream that holds the object in the region where it belongs.
+func (s *search) owner() (Choice, bool) {
+	for _, u := range s.owners {
+		if u.Region == s.home && s.fits(u, s.service) {
+			return s.pick(u, Owner, true)
+		}
+	}
+	return Choice{}, false
+}
+
+// spilled takes the upstream that holds the object in another region, as far as the share of moved work allows.
+func (s *search) spilled() (Choice, bool) {
+	if !s.maySpill() {
+		return Choice{}, false
+	}
+	var best *Upstream
+	for _, u := range s.owners {
+		if u.Region != s.home && s.fits(u, s.service) && (best == nil || u.wait(s.now, s.service) < best.wait(s.now, s.service)) {
+			best = u
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	s.p.spill--
+	return s.pick(best, Spilled, true)
+}
+
+func (s *search) maySpill() bool {
+	return s.p.spill >= 1 || s.now < s.p.troubled || len(s.q.Tried) > 0
+}
+
+// second takes an idle upstream of the home region that doesn't hold the object, if that is still on time.
+func (s *search) second() (Choice, bool) {
+	var best *Upstream
+	for _, u := range s.able {
+		if u.Region != s.home || 2*u.load(s.now) > float64(u.Slots) || !s.fits(u, s.coldly) {
+			continue
+		}
+		if best == nil || s.before(u, best) {
+			best = u
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	return s.pick(best, Second, false)
+}
+
+// late takes an owner whose queue is short, when nothing can be on time.
+func (s *search) late() (Choice, bool) {
+	most := lateShare[min(max(s.q.Route.Rank, 0), len(lateShare)-1)]
+	var best *Upstream
+	for _, u := range s.owners {
+		if u.Region != s.home && !s.maySpill() {
+			continue
+		}
+		wait := u.wait(s.now, s.service)
+		held := max(u.service, s.service)
+		if wait > most*held || wait+s.p.trip(u)+held > float64(s.q.Left) {
+			continue
+		}
+		if best == nil || wait < best.wait(s.now, s.service) {
+			best = u
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	if best.Region != s.home {
+		s.p.spill--
+	}
+	return s.pick(best, Late, best.Region == s.home)
+}
+
+// refusal says when the object's owner is expected to have a slot.
+func (s *search) refusal() Choice {
+	u := s.owners[0]
+	wait := u.wait(s.now, s.service)
+	spare := max(0, onTimeShare*s.spare(u, s.service))
+	retry := daisygap.Millis(wait - spare)
+	return Choice{Verdict: Full, Load: u.load(s.now), Wait: wait, Retry: min(max(retry, retryLeast), retryMost)}
+}
+
+// homeOf returns the region where a query's object belongs: the own one for a share of the objects, else another by weight of slots.
+func (p *Pool) homeOf(q Query, able []*Upstream) string {
+	slots := make(map[string]float64)
+	for _, u := range able {
+		slots[u.Region] += float64(u.Slots)
+	}
+	if slots[p.Region] > 0 && (len(slots) == 1 || unit(mix(q.Object)) < p.stay) {
+		return p.Region
+	}
+	home, top := "", -1.0
+	for _, region := range p.regions() {
+		if region == p.Region || slots[region] == 0 {
+			continue
+		}
+		if weight := slots[region] * unit(mix(q.Object^xxhash.Sum64String(region))); weight > top {
+			home, top = region, weight
+		}
+	}
+	return home
+}
--- /dev/null
+++ b/internal/policy/retry/shared.go
@@ -0,0 +1,52 @@
+package retry
+
+import "github.com/daisygap/daisygap"
+
+// Shared is one daemon's part of a retry budget that all daemons draw on; it is not safe for concurrent use.
+type Shared struct {
+	// Ratio is the part of fresh requests that all daemons may send again, and Slack what they may send beside it in Window.
+	Ratio  float64
+	Slack  float64
+	Window daisygap.Millis
+
+	credit float64
+	last   daisygap.Millis
+}
+
+// safety is the part of the budget that is used; daemons that are cut off count too few others.
+const safety = 0.6
+
+// burstWindow is the part of a window's slack that a quiet time can save up.
+const burstWindow = 0.4
+
+// Fresh counts a first attempt among a number of daemons.
+func (s *Shared) Fresh(daemons int, now daisygap.Millis) {
+	s.refill(daemons, now)
+	s.credit += safety * s.Ratio
+}
+
+// Take spends one repeat, or reports that the budget is used up.
+func (s *Shared) Take(daemons int, now daisygap.Millis) bool {
+	s.refill(daemons, now)
+	if s.credit < 1 {
+		return false
+	}
+	s.credit--
+	return true
+}
+
+// refill adds this daemon's part of the slack for the time that has passed.
+func (s *Shared) refill(daemons int, now daisygap.Millis) {
+	if s.Window <= 0 {
+		return
+	}
+	part := safety * s.Slack / float64(max(daemons, 1))
+	most := max(1, burstWindow*part)
+	if s.last == 0 {
+		s.credit = most
+	} else {
+		s.credit += part * (1 - burstWindow) * float64(now-s.last) / float64(s.Window)
+	}
+	s.credit = min(s.credit, most)
+	s.last = now
+}
--- /dev/null
+++ b/internal/policy/roster/doc.go
@@ -0,0 +1,2 @@
+// Package roster decides from heartbeats which daemons are alive.
+package roster
--- /dev/null
+++ b/internal/policy/route/doc.go
@@ -0,0 +1,2 @@
+// Package route finds the route of a request by its host and the longest path prefix.
+package route
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -19,12 +19,12 @@
 
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/adapter/peer"
-	storeclient "github.com/daisygap/daisygap/internal/adapter/store"
 	upstreamclient "github.com/daisygap/daisygap/internal/adapter/upstream"
 	"github.com/daisygap/daisygap/internal/daemon/entry"
 	"github.com/daisygap/daisygap/internal/standin/port"
 	"github.com/daisygap/daisygap/internal/standin/store"
 	"github.com/daisygap/daisygap/internal/standin/upstream"
+	"github.com/daisygap/daisygap/platform"
 )
 
 // Token is the operators' token of every daemon in a fleet.
@@ -178,7 +178,7 @@
 	n.to = upstreamclient.NewClient(nil, nil)
 	n.Daemon = &entry.Daemon{
 		Settings: settings, Clock: f.Clock,
-		Store: &storeclient.Client{Base: f.http.URL, Host: h.Name, HTTP: &http.Client{}},
+		Store: &platform.Store{Base: f.http.URL, Host: h.Name, HTTP: &http.Client{}},
 		Peers: n.client, Upstream: n.to, Carry: n.carry,
 		Log:    daisygap.Log{Prefix: h.Name, Out: f.Log},
 		Timing: f.Timing, Seed: f.Seed + uint64(len(f.nodes)) + 1,
--- a/internal/standin/store/memory.go
+++ b/internal/standin/store/memory.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -16,6 +16,13 @@
 	keys   map[string]bool
 }
 
+const (
+	// pageSize is the most entries that a list returns.
+	pageSize = 500
+	// historySize is the number of changes that watches can go back to.
+	historySize = 10_000
+)
+
 // Counts are the calls that the service has answered, by their cost class.
 type Counts struct {
 	Reads   int64
@@ -28,10 +35,13 @@
 type Memory struct {
 	Clock *daisygap.Clock
 
-	mu        sync.Mutex
-	entries   map[string]daisygap.Entry
-	leases    map[string]*lease
-	revision  uint64
+	mu       sync.Mutex
+	entries  map[string]daisygap.Entry
+	leases   map[string]*lease
+	revision uint64
+	// history holds the latest changes; those up to compacted are gone.
+	history   []daisygap.Entry
+	compacted uint64
 	nextLease int
 	changed   chan struct{}
 	counts    Counts
@@ -65,18 +75,19 @@
 	return e, nil
 }
 
-// List returns the entries under a prefix after a key.
-func (m *Memory) List(_ context.Context, prefix, after string, limit int) (daisygap.Batch, error) {
+// List returns one page of the entries under a prefix after a key.
+func (m *Memory) List(_ context.Context, prefix, after string) (daisygap.Batch, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire()
 	m.counts.Reads++
 	found := m.under(prefix, func(e daisygap.Entry) bool { return e.Key > after })
 	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
-	if limit > 0 && len(found) > limit {
-		found = found[:limit]
+	more := len(found) > pageSize
+	if more {
+		found = found[:pageSize]
 	}
-	return daisygap.Batch{Entries: found, Revision: m.revision}, nil
+	return daisygap.Batch{Entries: found, Revision: m.revision, More: more}, nil
 }
 
 // Swap writes a key whose revision is the expected one; an empty value deletes it.
@@ -95,7 +106,7 @@
 		}
 		l.keys[key] = true
 	}
-	return m.put(key, value), nil
+	return m.put(key, value, leaseName), nil
 }
 
 // Grant opens a lease.
@@ -104,7 +115,7 @@
 	defer m.mu.Unlock()
 	m.counts.Writes++
 	m.nextLease++
-	name := fmt.Sprintf("lease-%d", m.nextLease)
+	name := strconv.Itoa(m.nextLease)
 	m.leases[name] = &lease{length: length, until: m.Clock.Now() + length, keys: make(map[string]bool)}
 	return name, nil
 }
@@ -147,9 +158,11 @@
 	}()
 	for {
 		m.expire()
-		found := m.under(prefix, func(e daisygap.Entry) bool { return e.Revision > after })
+		if after < m.compacted {
+			return daisygap.Batch{}, daisygap.ErrCompacted
+		}
+		found := m.since(prefix, after)
 		if len(found) > 0 || ctx.Err() != nil {
-			sort.Slice(found, func(i, j int) bool { return found[i].Revision < found[j].Revision })
 			return daisygap.Batch{Entries: found, Revision: m.revision}, nil
 		}
 		changed := m.changed
@@ -162,6 +175,23 @@
 	}
 }
 
+// Compact drops the history of changes, so that watches have to start anew.
+func (m *Memory) Compact() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.history, m.compacted = nil, m.revision
+}
+
+func (m *Memory) since(prefix string, after uint64) []daisygap.Entry {
+	var found []daisygap.Entry
+	for _, e := range m.history {
+		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
 func (m *Memory) under(prefix string, keep func(daisygap.Entry) bool) []daisygap.Entry {
 	var found []daisygap.Entry
 	for _, e := range m.entries {
@@ -172,14 +202,19 @@
 	return found
 }
 
-func (m *Memory) put(key string, value []byte) daisygap.Entry {
+func (m *Memory) put(key string, value []byte, leaseName string) daisygap.Entry {
 	m.revision++
-	e := daisygap.Entry{Key: key, Value: value, Revision: m.revision}
-	if len(value) == 0 {
+	e := daisygap.Entry{Key: key, Value: value, Revision: m.revision, Lease: leaseName, Deleted: len(value) == 0}
+	if e.Deleted {
 		delete(m.entries, key)
 	} else {
 		m.entries[key] = e
 	}
+	m.history = append(m.history, e)
+	if len(m.history) > historySize {
+		m.compacted = m.history[0].Revision
+		m.history = m.history[1:]
+	}
 	close(m.changed)
 	m.changed = make(chan struct{})
 	return e
@@ -198,7 +233,7 @@
 	delete(m.leases, name)
 	for key := range l.keys {
 		if _, ok := m.entries[key]; ok {
-			m.put(key, nil)
+			m.put(key, nil, "")
 		}
 	}
 }
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"golang.org/x/time/rate"
 
@@ -64,28 +65,16 @@
 	return m.revision
 }
 
-type swapRequest struct {
-	Key    string `json:"key"`
-	Value  []byte `json:"value"`
-	Expect uint64 `json:"expect"`
-	Lease  string `json:"lease"`
-}
-
-type leaseRequest struct {
-	Lease  string          `json:"lease"`
-	Length daisygap.Millis `json:"length"`
-}
-
-// Handler returns the HTTP face of the store.
+// Handler returns the HTTP face of the store, as the platform speaks it.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/get", s.read(s.get))
-	mux.HandleFunc("GET /v1/list", s.read(s.list))
-	mux.HandleFunc("GET /v1/watch", s.read(s.watch))
-	mux.HandleFunc("POST /v1/swap", s.write(s.swap))
-	mux.HandleFunc("POST /v1/grant", s.write(s.grant))
-	mux.HandleFunc("POST /v1/renew", s.write(s.renew))
-	mux.HandleFunc("POST /v1/revoke", s.write(s.revoke))
+	mux.HandleFunc("GET /kv-key", s.read(s.get))
+	mux.HandleFunc("GET /kv-range", s.read(s.list))
+	mux.HandleFunc("GET /kv-watch", s.read(s.watch))
+	mux.HandleFunc("POST /kv-txn", s.write(s.commit))
+	mux.HandleFunc("POST /kv-lease", s.write(s.grant))
+	mux.HandleFunc("POST /kv-keep/{lease}", s.write(s.renew))
+	mux.HandleFunc("DELETE /kv-lease-end/{lease}", s.write(s.revoke))
 	mux.HandleFunc("POST /v1/faults", s.setFaults)
 	return mux
 }
@@ -160,22 +149,33 @@
 }
 
 func (s *Server) get(_ http.ResponseWriter, r *http.Request) (any, error) {
-	return s.Memory.Get(r.Context(), r.URL.Query().Get("key"))
+	e, err := s.Memory.Get(r.Context(), r.URL.Query().Get("key"))
+	if err == nil && e.Revision == 0 {
+		return nil, errMissing
+	}
+	return itemOf(e), err
 }
 
 func (s *Server) list(_ http.ResponseWriter, r *http.Request) (any, error) {
 	q := r.URL.Query()
-	limit, _ := strconv.Atoi(q.Get("limit"))
-	b, err := s.Memory.List(r.Context(), q.Get("prefix"), q.Get("after"), limit)
-	return s.asOfFault(b), err
+	b, err := s.Memory.List(r.Context(), q.Get("prefix"), q.Get("after"))
+	b = s.asOfFault(b)
+	return page{Items: itemsOf(b.Entries), More: b.More, AsOf: b.Revision}, err
 }
 
 func (s *Server) watch(_ http.ResponseWriter, r *http.Request) (any, error) {
 	q := r.URL.Query()
-	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
-	wait, _ := strconv.ParseInt(q.Get("wait"), 10, 64)
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	wait, err := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+	if err != nil {
+		return nil, err
+	}
 	b, err := s.Memory.Watch(r.Context(), q.Get("prefix"), after, daisygap.Millis(wait))
-	return s.asOfFault(b), err
+	b = s.asOfFault(b)
+	return page{Events: itemsOf(b.Entries), AsOf: b.Revision}, err
 }
 
 // asOfFault hides the entries that changed after a stale-reads fault began.
@@ -194,48 +194,48 @@
 	return daisygap.Batch{Entries: old, Revision: min(b.Revision, s.stale)}
 }
 
-func (s *Server) swap(w http.ResponseWriter, r *http.Request) (any, error) {
-	var q swapRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2<<20)).Decode(&q); err != nil {
+// commit takes transactions of one key, which is all that daisygap sends.
+func (s *Server) commit(w http.ResponseWriter, r *http.Request) (any, error) {
+	var t transaction
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2<<20)).Decode(&t); err != nil {
 		return nil, err
 	}
-	return s.Memory.Swap(r.Context(), q.Key, q.Value, q.Expect, q.Lease)
+	if len(t.Expect) != 1 || len(t.Puts)+len(t.Deletes) != 1 {
+		return nil, errors.New("expected one condition and one change")
+	}
+	var value []byte
+	lease := ""
+	if len(t.Puts) == 1 {
+		value = t.Puts[0].Value
+		if t.Puts[0].Lease != 0 {
+			lease = strconv.FormatUint(t.Puts[0].Lease, 10)
+		}
+	}
+	e, err := s.Memory.Swap(r.Context(), t.Expect[0].Key, value, t.Expect[0].Revision, lease)
+	return revisionAnswer{Revision: e.Revision}, err
 }
 
 func (s *Server) grant(_ http.ResponseWriter, r *http.Request) (any, error) {
-	var q leaseRequest
+	var q leaseSpan
 	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
 		return nil, err
 	}
-	name, err := s.Memory.Grant(r.Context(), q.Length)
-	return leaseRequest{Lease: name, Length: q.Length}, err
-}
-
-func (s *Server) renew(_ http.ResponseWriter, r *http.Request) (any, error) {
-	var q leaseRequest
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+	length, err := time.ParseDuration(q.TTL)
+	if err != nil {
 		return nil, err
 	}
-	return q, s.Memory.Renew(r.Context(), q.Lease)
-}
-
-func (s *Server) revoke(_ http.ResponseWriter, r *http.Request) (any, error) {
-	var q leaseRequest
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+	name, err := s.Memory.Grant(r.Context(), daisygap.Millis(length/time.Millisecond))
+	if err != nil {
 		return nil, err
 	}
-	return q, s.Memory.Revoke(r.Context(), q.Lease)
+	id, err := strconv.ParseUint(name, 10, 64)
+	return leaseSpan{Lease: id, TTL: q.TTL}, err
 }
 
-func reply(w http.ResponseWriter, result any, err error) {
-	switch {
-	case errors.Is(err, daisygap.ErrConflict):
-		w.WriteHeader(http.StatusConflict)
-	case errors.Is(err, daisygap.ErrLapsed):
-		w.WriteHeader(http.StatusGone)
-	case err != nil:
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	_ = json.NewEncoder(w).Encode(result)
+func (s *Server) renew(_ http.ResponseWriter, r *http.Request) (any, error) {
+	return struct{}{}, s.Memory.Renew(r.Context(), r.PathValue("lease"))
+}
+
+func (s *Server) revoke(_ http.ResponseWriter, r *http.Request) (any, error) {
+	return struct{}{}, s.Memory.Revoke(r.Context(), r.PathValue("lease"))
 }
--- a/log.go
+++ b/log.go
@@ -2,6 +2,9 @@
 
 import "github.com/sirupsen/logrus"
 
+// Fields are what an event's line says beside its name.
+type Fields = logrus.Fields
+
 // Log writes one part's short sentences with its fixed prefix.
 type Log struct {
 	Prefix string
@@ -28,6 +31,14 @@
 	l.write(logrus.WarnLevel, format, args)
 }
 
+// Event writes one structured line about a decision or a change of what the process believes.
+func (l Log) Event(name string, f Fields) {
+	if l.Out == nil || !l.Out.IsLevelEnabled(logrus.InfoLevel) {
+		return
+	}
+	l.Out.WithField("part", l.Prefix).WithFields(f).Info(name)
+}
+
 func (l Log) write(level logrus.Level, format string, args []any) {
 	if l.Out != nil && l.Out.IsLevelEnabled(level) {
 		l.Out.Logf(level, l.Prefix+": "+format, args...)
--- a/settings.go
+++ b/settings.go
@@ -19,6 +19,24 @@
 	Linger Millis `json:"linger"`
 	// Trust lists the prefixes whose Daisygap-Caller header names the caller.
 	Trust []string `json:"trust,omitempty"`
+	// Steering is set for a daemon on the platform, which has no carry and operator addresses and no token.
+	Steering *SteeringSettings `json:"steering,omitempty"`
+}
+
+// SteeringSettings are what a daemon on the platform needs beside the others.
+type SteeringSettings struct {
+	// Ready, Directory and Metrics are the addresses for the platform's checks, for callers' look-ups and for metrics.
+	Ready     string `json:"ready"`
+	Directory string `json:"directory"`
+	Metrics   string `json:"metrics"`
+	// Domains names the region of each failure domain.
+	Domains map[string]string `json:"domains"`
+	// RetryRatio is the part of the requests that all daemons together may send again, and RetrySlack what they may send again beside it in RetryWindow.
+	RetryRatio  float64 `json:"ratio"`
+	RetrySlack  float64 `json:"slack"`
+	RetryWindow Millis  `json:"window"`
+	// Grace is the time from SIGTERM to the process's forced end.
+	Grace Millis `json:"grace"`
 }
 
 // TLS names the files for the peer and operator faces.
--- a/store.go
+++ b/store.go
@@ -11,25 +11,33 @@
 // ErrLapsed is returned by Store.Renew when the lease no longer exists.
 var ErrLapsed = errors.New("the lease has lapsed")
 
-// Entry is one key of the platform's key-value service.
+// ErrCompacted is returned by Store.Watch when the history after the revision is no longer kept.
+var ErrCompacted = errors.New("the history is no longer kept")
+
+// Entry is one key of the platform's key-value service, or its deletion.
 type Entry struct {
 	Key      string `json:"key"`
-	Value    []byte `json:"value"`
+	Value    []byte `json:"value,omitempty"`
 	Revision uint64 `json:"revision"`
+	// Lease is the lease that the key ends with, or "".
+	Lease   string `json:"lease,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
 }
 
 // Batch is what a list or a watch returns, with the store's revision at that time.
 type Batch struct {
 	Entries  []Entry `json:"entries"`
 	Revision uint64  `json:"revision"`
+	// More tells that a list goes on after its last entry.
+	More bool `json:"more,omitempty"`
 }
 
 // Store is the platform's key-value service; an error other than ErrConflict leaves a write's outcome unknown.
 type Store interface {
 	// Get returns the entry of a key; a missing key has revision 0.
 	Get(ctx context.Context, key string) (Entry, error)
-	// List returns the entries after a key under a prefix, in key order, up to a limit.
-	List(ctx context.Context, prefix, after string, limit int) (Batch, error)
+	// List returns one page of the entries after a key under a prefix, in key order.
+	List(ctx context.Context, prefix, after string) (Batch, error)
 	// Swap writes a key if its revision is the expected one; 0 means that the key must not exist.
 	Swap(ctx context.Context, key string, value []byte, expect uint64, lease string) (Entry, error)
 	// Grant opens a lease of a length in milliseconds and returns its name.
@@ -38,6 +46,6 @@
 	Renew(ctx context.Context, lease string) error
 	// Revoke ends a lease and deletes the keys that were written under it.
 	Revoke(ctx context.Context, lease string) error
-	// Watch returns the entries under a prefix changed after a revision, waiting up to a span for the first.
+	// Watch returns the entries under a prefix changed or deleted after a revision, waiting up to a span for the first.
 	Watch(ctx context.Context, prefix string, after uint64, wait Millis) (Batch, error)
 }
