Tests of the steering policies; a daemon's retry budget starts empty

Cause: daemons that start together each took the whole slack for themselves, since none knew another (the sum over 11 would be over the shared budget). Change: credit starts at nothing; regions of a pool are computed once.

--- /dev/null
+++ b/internal/policy/mirror/mirror_test.go
@@ -0,0 +1,110 @@
+package mirror
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/daisygap/daisygap"
+)
+
+func put(key string, revision uint64) daisygap.Entry {
+	return daisygap.Entry{Key: key, Value: []byte(fmt.Sprint(revision)), Revision: revision}
+}
+
+func ended(key string, revision uint64) daisygap.Entry {
+	return daisygap.Entry{Key: key, Revision: revision, Deleted: true}
+}
+
+func TestOldNewsChangesNothing(t *testing.T) {
+	var m Mirror
+	m.Apply(daisygap.Update{Entries: []daisygap.Entry{put("a", 3), put("b", 4)}, Revision: 5, Full: true})
+	m.Apply(daisygap.Update{Entries: []daisygap.Entry{ended("b", 6), put("a", 7)}, Revision: 7})
+	for _, u := range []daisygap.Update{
+		{Entries: []daisygap.Entry{put("a", 3), put("b", 4)}, Revision: 5, Full: true},
+		{Entries: []daisygap.Entry{put("b", 4)}, Revision: 4},
+		{Entries: []daisygap.Entry{ended("a", 6)}, Revision: 6},
+		{Entries: nil, Revision: 6, Full: true},
+	} {
+		if changed := m.Apply(u); len(changed) > 0 {
+			t.Errorf("%+v changed %+v", u, changed)
+		}
+	}
+	if diff := cmp.Diff([]daisygap.Entry{put("a", 7)}, m.Entries()); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	if m.Revision() != 7 {
+		t.Errorf("the revision went back to %d", m.Revision())
+	}
+}
+
+func TestFullCopyEndsWhatItDoesNotName(t *testing.T) {
+	var m Mirror
+	m.Apply(daisygap.Update{Entries: []daisygap.Entry{put("a", 1), put("b", 2)}, Revision: 2, Full: true})
+	m.Apply(daisygap.Update{Entries: []daisygap.Entry{put("c", 9)}, Revision: 9})
+	changed := m.Apply(daisygap.Update{Entries: []daisygap.Entry{put("a", 1)}, Revision: 8, Full: true})
+	if diff := cmp.Diff([]daisygap.Entry{ended("b", 8)}, changed); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+// TestCopiesConverge lets copies take random parts of a history, from the store and from each other, and compares them.
+func TestCopiesConverge(t *testing.T) {
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 7))
+		store := make(map[string]daisygap.Entry)
+		var history []daisygap.Entry
+		copies := make([]Mirror, 4)
+		for revision := uint64(1); revision <= 200; revision++ {
+			e := put(fmt.Sprint("k", r.IntN(12)), revision)
+			if _, known := store[e.Key]; known && r.IntN(3) == 0 {
+				e = ended(e.Key, revision)
+				delete(store, e.Key)
+			} else {
+				store[e.Key] = e
+			}
+			history = append(history, e)
+			m := &copies[r.IntN(len(copies))]
+			switch r.IntN(3) {
+			case 0:
+				m.Apply(full(store, revision))
+			case 1:
+				m.Apply(daisygap.Update{Entries: history[m.Revision():], Revision: revision})
+			case 2:
+				m.Apply(copies[r.IntN(len(copies))].Since(m.Revision()))
+			}
+		}
+		copies[0].Apply(full(store, 200))
+		want := copies[0].Entries()
+		for i := range copies {
+			copies[i].Apply(copies[0].Since(copies[i].Revision()))
+			if diff := cmp.Diff(want, copies[i].Entries()); diff != "" {
+				t.Fatalf("seed %d, copy %d (-want +got):\n%s", seed, i, diff)
+			}
+		}
+	}
+}
+
+func full(store map[string]daisygap.Entry, revision uint64) daisygap.Update {
+	u := daisygap.Update{Revision: revision, Full: true}
+	for _, e := range store {
+		u.Entries = append(u.Entries, e)
+	}
+	return u
+}
+
+func TestLaggingCopyTakesAFullOne(t *testing.T) {
+	var m Mirror
+	m.Apply(daisygap.Update{Revision: 1, Full: true})
+	for revision := uint64(2); revision < 3*maxLog; revision++ {
+		m.Apply(daisygap.Update{Entries: []daisygap.Entry{put("k", revision)}, Revision: revision})
+	}
+	if u := m.Since(3); !u.Full {
+		t.Error("a copy that lags by more than the log got changes only")
+	}
+	if u := m.Since(3*maxLog - 3); u.Full || len(u.Entries) != 2 {
+		t.Errorf("a copy that lags by two got full=%v and %d entries", u.Full, len(u.Entries))
+	}
+}
--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -2,7 +2,7 @@
 
 import (
 	"math"
-	"sort"
+	"slices"
 	"sync"
 
 	"github.com/daisygap/daisygap"
@@ -77,6 +77,8 @@
 	mu        sync.Mutex
 	limits    daisygap.PoolLimits
 	upstreams []*Upstream
+	// regions are those of the upstreams, in order.
+	regions []string
 	// shareOf returns this daemon's part of the rate that a cold upstream bears.
 	shareOf func(id string, rate float64) float64
 	// stay is the part of the objects that the own region serves.
@@ -100,28 +102,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limits = limits
-	if !sameUpstreams(p.upstreams, list) && p.started {
+	if p.started && !slices.Equal(p.upstreams, list) {
 		p.troubled = now + troubleSpan
 	}
-	p.upstreams = list
+	p.upstreams, p.regions = list, regionsOf(list)
 	if !p.started && len(list) > 0 {
 		p.started = true
 		p.stay = p.fairStay()
 	}
 }
 
-func sameUpstreams(a, b []*Upstream) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // Choose finds an upstream and counts the request there, or refuses; call Done for each upstream that it returns.
 func (p *Pool) Choose(q Query, now daisygap.Millis) Choice {
 	p.mu.Lock()
@@ -172,15 +162,7 @@
 }
 
 func allowed(homes []string, region string) bool {
-	if len(homes) == 0 {
-		return true
-	}
-	for _, h := range homes {
-		if h == region {
-			return true
-		}
-	}
-	return false
+	return len(homes) == 0 || slices.Contains(homes, region)
 }
 
 // withoutPoor leaves out upstreams that fail much of their work, unless too many do.
@@ -338,16 +320,13 @@
 	Load *daisygap.LoadReport
 }
 
-// Regions returns the regions of the pool's upstreams in order.
-func (p *Pool) regions() []string {
-	seen := make(map[string]bool)
-	var list []string
-	for _, u := range p.upstreams {
-		if !seen[u.Region] {
-			seen[u.Region] = true
-			list = append(list, u.Region)
+func regionsOf(list []*Upstream) []string {
+	var names []string
+	for _, u := range list {
+		if !slices.Contains(names, u.Region) {
+			names = append(names, u.Region)
 		}
 	}
-	sort.Strings(list)
-	return list
+	slices.Sort(names)
+	return names
 }
--- a/internal/policy/placement/search.go
+++ b/internal/policy/placement/search.go
@@ -56,7 +56,7 @@
 		}
 		list = append(list, u)
 	}
-	for _, region := range s.p.regions() {
+	for _, region := range s.p.regions {
 		if u := best[region]; u != nil && region != s.home {
 			list = append(list, u)
 		}
@@ -198,7 +198,7 @@
 		return p.Region
 	}
 	home, top := "", -1.0
-	for _, region := range p.regions() {
+	for _, region := range p.regions {
 		if region == p.Region || slots[region] == 0 {
 			continue
 		}
--- a/internal/policy/placement/stay.go
+++ b/internal/policy/placement/stay.go
@@ -26,7 +26,7 @@
 	if all == 0 {
 		return 1
 	}
-	return min(1, overFair*own/all*float64(len(p.regions())))
+	return min(1, overFair*own/all*float64(len(p.regions)))
 }
 
 // Tick adjusts the part of the objects that the own region serves by the load of its upstreams and the others'.
--- a/internal/policy/retry/shared.go
+++ b/internal/policy/retry/shared.go
@@ -9,6 +9,7 @@
 	Slack  float64
 	Window daisygap.Millis
 
+	// credit starts at nothing: daemons that start together don't know each other yet.
 	credit float64
 	last   daisygap.Millis
 }
@@ -42,9 +43,7 @@
 	}
 	part := safety * s.Slack / float64(max(daemons, 1))
 	most := max(1, burstWindow*part)
-	if s.last == 0 {
-		s.credit = most
-	} else {
+	if s.last > 0 {
 		s.credit += part * (1 - burstWindow) * float64(now-s.last) / float64(s.Window)
 	}
 	s.credit = min(s.credit, most)
--- /dev/null
+++ b/internal/policy/retry/shared_test.go
@@ -0,0 +1,55 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/daisygap/daisygap"
+)
+
+// TestSharedBudgetHoldsInEveryWindow drives many daemons as hard as they allow, and checks the sum in each sliding window.
+func TestSharedBudgetHoldsInEveryWindow(t *testing.T) {
+	const (
+		ratio  = 0.2
+		slack  = 62.0
+		window = daisygap.Millis(10_000)
+	)
+	for _, daemons := range []int{1, 2, 11, 88} {
+		r := rand.New(rand.NewPCG(uint64(daemons), 3))
+		shared := make([]Shared, daemons)
+		for i := range shared {
+			shared[i] = Shared{Ratio: ratio, Slack: slack, Window: window}
+		}
+		var fresh, repeats []daisygap.Millis
+		for now := daisygap.Millis(1); now < 60_000; now += 2 {
+			s := &shared[r.IntN(daemons)]
+			// Quiet for a while, then busy, so that saved credit is spent at once.
+			if now%20_000 > 12_000 {
+				s.Fresh(daemons, now)
+				fresh = append(fresh, now)
+			}
+			for now%20_000 > 15_000 && s.Take(daemons, now) {
+				repeats = append(repeats, now)
+			}
+		}
+		if len(repeats) == 0 {
+			t.Errorf("%d daemons: nothing was ever allowed", daemons)
+		}
+		for from := daisygap.Millis(0); from < 50_000; from += 500 {
+			f, n := within(fresh, from, window), within(repeats, from, window)
+			if most := ratio*float64(f) + slack; float64(n) > most {
+				t.Errorf("%d daemons: %d repeats of %d requests from %d ms, at most %.0f", daemons, n, f, from, most)
+			}
+		}
+	}
+}
+
+func within(times []daisygap.Millis, from, span daisygap.Millis) int {
+	n := 0
+	for _, at := range times {
+		if at >= from && at < from+span {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/policy/roster/roster_test.go
@@ -0,0 +1,66 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/daisygap/daisygap"
+)
+
+func pulse(name string, start int64, count uint64) daisygap.Pulse {
+	return daisygap.Pulse{Peer: daisygap.Peer{Name: name}, Start: start, Count: count}
+}
+
+func names(list []daisygap.Pulse) []string {
+	var out []string
+	for _, p := range list {
+		out = append(out, p.Peer.Name)
+	}
+	return out
+}
+
+func TestSilentDaemonIsDeadAndComesBack(t *testing.T) {
+	r := &Roster{Self: pulse("self", 1, 1)}
+	r.Hear([]daisygap.Pulse{pulse("a", 1, 1), pulse("b", 1, 1), pulse("self", 9, 9), {}}, 0)
+	r.Hear([]daisygap.Pulse{pulse("a", 1, 2)}, 2_000)
+	// The same count again, through a third daemon, is no sign of life.
+	r.Hear([]daisygap.Pulse{pulse("b", 1, 1)}, 2_000)
+	if diff := cmp.Diff([]string{"a"}, names(r.Alive(DeadAfter+500))); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"a", "b"}, names(r.Known())); diff != "" {
+		t.Errorf("known (-want +got):\n%s", diff)
+	}
+	if !r.Hear([]daisygap.Pulse{pulse("b", 2, 1)}, DeadAfter+600) {
+		t.Error("a new process didn't count as a change")
+	}
+	if r.Hear([]daisygap.Pulse{pulse("b", 1, 50)}, DeadAfter+700) {
+		t.Error("news of the old process counted")
+	}
+	if diff := cmp.Diff([]string{"a", "b"}, names(r.Alive(DeadAfter+700))); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+func TestLeavingSpreadsAtOnce(t *testing.T) {
+	r := &Roster{Self: pulse("self", 1, 1)}
+	r.Hear([]daisygap.Pulse{pulse("a", 1, 1)}, 0)
+	p := pulse("a", 1, 2)
+	p.Leaving = true
+	if !r.Hear([]daisygap.Pulse{p}, 100) {
+		t.Error("leaving didn't count as a change")
+	}
+}
+
+func TestSampleIsBounded(t *testing.T) {
+	r := &Roster{Self: pulse("self", 1, 1)}
+	for i := range 500 {
+		r.Hear([]daisygap.Pulse{pulse(fmt.Sprintf("d%03d", i), 1, 1)}, daisygap.Millis(i))
+	}
+	sample := r.Sample(500)
+	if len(sample) != maxSample+1 || sample[0].Peer.Name != "self" || sample[1].Peer.Name != "d499" {
+		t.Errorf("%d pulses, first %v", len(sample), names(sample[:2]))
+	}
+}
