--- a/internal/command/serve/steer.go
+++ b/internal/command/serve/steer.go
@@ -50,6 +50,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	faces.Daemon.CaptureLibraryLog()
 	faces.Daemon.Run(ctx)
 	faces.Run()
 	go c.reload(ctx, faces.Daemon)
--- a/internal/daemon/steer/answer.go
+++ b/internal/daemon/steer/answer.go
@@ -56,19 +56,9 @@
 	e.tried[c.Upstream] = true
 	ctx, release := context.WithCancel(e.ctx)
 	a := &answer{choice: c, release: release}
-	var conn atomic.Pointer[net.Conn]
-	var dialled daisygap.Millis
-	trace := &httptrace.ClientTrace{
-		ConnectStart: func(string, string) { dialled = e.d.Clock.Now() },
-		ConnectDone:  func(string, string, error) { a.trip = e.d.Clock.Now() - dialled },
-		GotConn:      func(i httptrace.GotConnInfo) { conn.Store(&i.Conn) },
-	}
-	a.cut = func() {
-		if p := conn.Load(); p != nil {
-			_ = (*p).Close()
-		}
-	}
-	res, err := e.d.Upstream.Send(httptrace.WithClientTrace(ctx, trace), e.request(c), false)
+	line := &line{clock: e.d.Clock}
+	a.cut = line.close
+	res, err := e.d.Upstream.Send(httptrace.WithClientTrace(ctx, line.trace()), e.request(c), false)
 	if err != nil {
 		a.fail(err)
 	} else {
@@ -78,7 +68,7 @@
 	if a.state != streaming {
 		release()
 	}
-	a.took = e.d.Clock.Now() - started
+	a.took, a.trip = e.d.Clock.Now()-started, daisygap.Millis(line.trip.Load())
 	switch a.state {
 	case whole, streaming, broken:
 		e.offers++
@@ -91,6 +81,28 @@
 	return a
 }
 
+// line is the connection of one offer; net/http may go on opening one after the offer has ended.
+type line struct {
+	clock   *daisygap.Clock
+	conn    atomic.Pointer[net.Conn]
+	dialled atomic.Int64
+	trip    atomic.Int64
+}
+
+func (l *line) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		ConnectStart: func(string, string) { l.dialled.Store(int64(l.clock.Now())) },
+		ConnectDone:  func(string, string, error) { l.trip.Store(int64(l.clock.Now()) - l.dialled.Load()) },
+		GotConn:      func(i httptrace.GotConnInfo) { l.conn.Store(&i.Conn) },
+	}
+}
+
+func (l *line) close() {
+	if p := l.conn.Load(); p != nil {
+		_ = (*p).Close()
+	}
+}
+
 // request makes the request for an upstream.
 func (e *exchange) request(c placement.Choice) *http.Request {
 	out := &http.Request{
--- a/internal/daemon/steer/carry.go
+++ b/internal/daemon/steer/carry.go
@@ -79,6 +79,10 @@
 		e.refuse(http.StatusServiceUnavailable, daisygap.ReasonNoConfiguration, placement.Choice{Retry: noConfigurationRetry})
 		return false
 	}
+	if e.call.ID == "" {
+		e.refuse(http.StatusBadRequest, daisygap.ReasonBadRequest, placement.Choice{})
+		return false
+	}
 	e.route = e.view.table.Find(e.in.Host, e.in.URL.Path)
 	if e.route == nil {
 		e.refuse(http.StatusNotFound, daisygap.ReasonUnknownKind, placement.Choice{})
--- a/internal/daemon/steer/faces.go
+++ b/internal/daemon/steer/faces.go
@@ -62,19 +62,22 @@
 
 // Run starts to serve on the open addresses.
 func (f *Faces) Run() {
-	f.callers = server(http.HandlerFunc(f.Daemon.ServeCaller))
+	f.callers = f.server(http.HandlerFunc(f.Daemon.ServeCaller))
 	f.serve(f.callers, f.sockets[0])
 	f.peers = &peer.Server{Steering: f.Daemon, Log: f.Daemon.Log.With("peer")}
 	f.group.Go(func() { f.peers.Run(f.sockets[1]) })
 	for i, o := range f.Others {
-		s := server(o.Handler)
+		s := f.server(o.Handler)
 		f.others = append(f.others, s)
 		f.serve(s, f.sockets[2+i])
 	}
 }
 
-func server(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+func (f *Faces) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: f.Daemon.errorLog(),
+	}
 }
 
 func (f *Faces) serve(s *http.Server, l net.Listener) {
--- /dev/null
+++ b/internal/daemon/steer/site_test.go
@@ -0,0 +1,139 @@
+package steer_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/daisygap/daisygap/internal/standin/instance"
+	"github.com/daisygap/daisygap/internal/standin/site"
+)
+
+var regions = map[string]string{"n-1": "north", "n-2": "north", "s-1": "south"}
+
+var routes = []site.Route{
+	{Name: "reads", Prefix: "/reads/", Kind: "safe", Pool: "stock"},
+	{Name: "orders", Prefix: "/orders/", Kind: "unsafe", Pool: "desk"},
+	{Name: "files", Prefix: "/files/", Kind: "download", Pool: "stock"},
+	{Name: "brief", Prefix: "/brief/", Kind: "safe", Pool: "stock", Timeout: "400ms"},
+	{Name: "home", Prefix: "/home/", Kind: "safe", Pool: "stock", Homes: []string{"south"}},
+}
+
+// world is a site with servers of both pools in every domain, and daemons that know each other.
+type world struct {
+	*site.Site
+	t       *testing.T
+	servers map[string]*instance.Server
+	daemons []*site.Daemon
+}
+
+func start(t *testing.T, daemons ...string) *world {
+	t.Helper()
+	w := &world{
+		Site: &site.Site{Regions: regions, Routes: routes, Grace: 2_000}, t: t,
+		servers: make(map[string]*instance.Server),
+	}
+	w.must(w.Run())
+	t.Cleanup(w.Close)
+	for domain := range regions {
+		for _, pool := range []string{"stock", "desk"} {
+			w.startServer(domain+"-"+pool, pool, domain)
+		}
+	}
+	var peers []string
+	for i, domain := range daemons {
+		d, err := w.Start(fmt.Sprintf("host-%d", i), domain, peers...)
+		w.must(err)
+		peers = append(peers, d.Settings.Peer)
+		w.daemons = append(w.daemons, d)
+	}
+	for _, d := range w.daemons {
+		w.await("a daemon to be ready", func() bool { return d.Faces.Daemon.Ready() })
+	}
+	return w
+}
+
+func (w *world) startServer(id, pool, domain string) *instance.Server {
+	w.t.Helper()
+	s := &instance.Server{ID: id, Pool: pool, Domain: domain, Slots: 6, Service: 5}
+	w.must(w.StartServer(s))
+	w.servers[id] = s
+	return s
+}
+
+func (w *world) must(err error) {
+	w.t.Helper()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+func (w *world) await(what string, condition func() bool) {
+	w.t.Helper()
+	if !site.Await(5*time.Second, condition) {
+		w.t.Fatalf("waited in vain for %s", what)
+	}
+}
+
+func (w *world) setFault(f instance.Fault, pool string) {
+	for _, s := range w.servers {
+		if s.Pool == pool {
+			s.SetFault(f)
+		}
+	}
+}
+
+// runs returns how often each request ran, over all servers.
+func (w *world) runs() map[string]int {
+	counts := make(map[string]int)
+	for _, s := range w.servers {
+		for _, r := range s.Runs() {
+			counts[r.ID]++
+		}
+	}
+	return counts
+}
+
+var requests atomic.Int64
+
+// result is what a caller saw.
+type result struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+	// broken tells that the connection ended before the answer was whole.
+	broken bool
+	took   time.Duration
+}
+
+// ask sends one request of a caller on a connection that its client keeps.
+func (w *world) ask(client *http.Client, d *site.Daemon, method, path, body string) result {
+	w.t.Helper()
+	id := fmt.Sprintf("request-%d", requests.Add(1))
+	r, err := http.NewRequest(method, "http://"+d.Settings.Caller+path, strings.NewReader(body))
+	w.must(err)
+	r.Host = site.Host
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Milliseconds", "2000")
+	r.Header.Set("Cookie", "Request-Affinity="+path)
+	started := time.Now()
+	res, err := client.Do(r)
+	if err != nil {
+		return result{id: id, broken: true, took: time.Since(started)}
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	return result{id: id, status: res.StatusCode, header: res.Header, body: string(data), broken: err != nil, took: time.Since(started)}
+}
+
+func newClient(t *testing.T) *http.Client {
+	t.Helper()
+	transport := &http.Transport{DisableCompression: true}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport, Timeout: 5 * time.Second}
+}
--- /dev/null
+++ b/internal/daemon/steer/stray.go
@@ -0,0 +1,38 @@
+package steer
+
+import (
+	"log"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/daisygap/daisygap"
+)
+
+var libraryLines = metrics.NewCounter(`daisygap_library_lines_total`)
+
+// strayLog turns what net/http logs by itself, such as bytes that no request asked for, into counted events.
+type strayLog struct{ d *Daemon }
+
+// Write takes one line.
+func (s strayLog) Write(line []byte) (int, error) {
+	libraryLines.Inc()
+	if s.d.events.allow("library", s.d.Clock.Now()) {
+		text := strings.TrimSpace(string(line))
+		s.d.Log.Event("library", daisygap.Fields{"text": text[:min(len(text), maxStray)]})
+	}
+	return len(line), nil
+}
+
+// maxStray is the part of a line that is kept; the rest is the stray bytes themselves.
+const maxStray = 120
+
+// CaptureLibraryLog directs the lines that libraries write to the standard logger to the daemon's events.
+func (d *Daemon) CaptureLibraryLog() {
+	log.SetFlags(0)
+	log.SetOutput(strayLog{d})
+}
+
+func (d *Daemon) errorLog() *log.Logger {
+	return log.New(strayLog{d}, "", 0)
+}
--- /dev/null
+++ b/internal/standin/instance/server.go
@@ -0,0 +1,264 @@
+package instance
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/daisygap/daisygap"
+)
+
+// Fault is how a server treats the requests that it runs.
+type Fault string
+
+// The faults; all but Shed and Refuse run the request.
+const (
+	None Fault = ""
+	// Shed rejects the request and says that it didn't run.
+	Shed Fault = "shed"
+	// Fail answers 500.
+	Fail Fault = "fail"
+	// Lose closes the connection instead of answering.
+	Lose Fault = "lose"
+	// Cut closes the connection in the middle of the body.
+	Cut Fault = "cut"
+	// Unframed sends a body without a length that ends with the connection, and UnframedCut resets it midway.
+	Unframed    Fault = "unframed"
+	UnframedCut Fault = "unframed cut"
+	// Extra sends a second answer right after the first, and ExtraLate some time after it.
+	Extra     Fault = "extra"
+	ExtraLate Fault = "extra late"
+	// Bare leaves out the stamp, Other answers in another request's name, and Packed marks the body as encoded.
+	Bare   Fault = "bare"
+	Other  Fault = "other"
+	Packed Fault = "packed"
+	// Junk sends bytes that are no answer.
+	Junk Fault = "junk"
+	// Silent never answers.
+	Silent Fault = "silent"
+	// Crash ends the whole process.
+	Crash Fault = "crash"
+)
+
+// Body is what every whole answer holds.
+const Body = "the bytes of the answer, long enough to be cut in two"
+
+// extraDelay is the time before a late extra answer.
+const extraDelay = 30 * time.Millisecond
+
+// Run is one request that a server began to work on.
+type Run struct {
+	ID   string
+	Path string
+	Body string
+	Left int
+	At   time.Time
+	// Ended is set when the caller left before the answer.
+	Ended time.Time
+}
+
+// Server is one process of a server; set the exported fields before Run.
+type Server struct {
+	ID      string
+	Pool    string
+	Domain  string
+	Slots   int
+	Service daisygap.Millis
+
+	mu       sync.Mutex
+	fault    Fault
+	runs     []*Run
+	running  int
+	draining bool
+	sequence int
+	born     int64
+	listener net.Listener
+	http     *http.Server
+}
+
+// Run starts to serve on a free port of the loopback interface.
+func (s *Server) Run() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.listener = l
+	s.born = time.Now().UnixMilli()
+	s.http = &http.Server{Handler: s}
+	go func() {
+		// Serve ends with Close.
+		_ = s.http.Serve(l)
+	}()
+	return nil
+}
+
+// Close ends the process at once.
+func (s *Server) Close() {
+	_ = s.http.Close()
+}
+
+// SetFault has the requests from now on treated in a way.
+func (s *Server) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// SetDraining has the server say that it leaves.
+func (s *Server) SetDraining() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
+// Runs returns the requests that it began to work on.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []Run
+	for _, r := range s.runs {
+		list = append(list, *r)
+	}
+	return list
+}
+
+// Entry returns what the server writes of itself into the store.
+func (s *Server) Entry() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	state := "ready"
+	if s.draining {
+		state = "draining"
+	}
+	data, err := json.Marshal(map[string]any{
+		"service": s.Pool, "address": s.listener.Addr().String(), "zone": s.Domain, "version": "v1",
+		"slots": s.Slots, "state": state, "cold_remaining": "0ms", "sequence": s.sequence, "born": s.born,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// ServeHTTP runs one request, or fails it.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("Expected-Instance"); want != "" && want != s.ID {
+		w.Header().Set("Instance-Id", s.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	run, fault := s.begin(r, string(body))
+	if run == nil {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.end()
+	select {
+	case <-time.After(s.Service.Duration()):
+	case <-r.Context().Done():
+		s.mu.Lock()
+		run.Ended = time.Now()
+		s.mu.Unlock()
+		return
+	}
+	s.answer(w, r, run, fault)
+}
+
+func (s *Server) begin(r *http.Request, body string) (*Run, Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fault == Shed || s.running >= 4*s.Slots {
+		return nil, s.fault
+	}
+	left, err := strconv.Atoi(r.Header.Get("Deadline-Milliseconds"))
+	if err != nil {
+		left = -1
+	}
+	run := &Run{ID: r.Header.Get("Request-Id"), Path: r.URL.RequestURI(), Body: body, Left: left, At: time.Now()}
+	s.runs = append(s.runs, run)
+	s.running++
+	return run, s.fault
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, run *Run, f Fault) {
+	h := w.Header()
+	h.Set("Request-Id", run.ID)
+	h.Set("Response-Stamp", "stamp-"+run.ID)
+	s.mu.Lock()
+	h.Set("Server-Load", fmt.Sprintf("%d,0,%d", s.running, s.Slots))
+	s.mu.Unlock()
+	switch f {
+	case Silent:
+		<-r.Context().Done()
+		s.mu.Lock()
+		run.Ended = time.Now()
+		s.mu.Unlock()
+		return
+	case Crash:
+		s.Close()
+		return
+	case Fail:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case Bare:
+		h.Del("Response-Stamp")
+	case Other:
+		h.Set("Request-Id", "another")
+	case Packed:
+		h.Set("Content-Encoding", "gzip")
+	case Lose, Cut, Unframed, UnframedCut, Extra, ExtraLate, Junk:
+		s.raw(w, run, f)
+		return
+	case None, Shed:
+	}
+	_, _ = io.WriteString(w, Body)
+}
+
+// raw writes to the connection itself what a sound server never would.
+func (s *Server) raw(w http.ResponseWriter, run *Run, f Fault) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: stamp-%s\r\n", run.ID, run.ID)
+	framed := head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(Body), Body)
+	switch f {
+	case Cut:
+		_, _ = io.WriteString(conn, framed[:len(framed)-len(Body)/2])
+	case Unframed:
+		_, _ = io.WriteString(conn, head+"\r\n"+Body)
+	case UnframedCut:
+		_, _ = io.WriteString(conn, head+"\r\n"+Body[:len(Body)/2])
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	case Extra:
+		_, _ = io.WriteString(conn, framed+framed)
+	case ExtraLate:
+		_, _ = io.WriteString(conn, framed)
+		time.Sleep(extraDelay)
+		_, _ = io.WriteString(conn, framed)
+		// The connection stays open, as a faulty server's does.
+		time.Sleep(10 * extraDelay)
+	case Junk:
+		_, _ = io.WriteString(conn, "this is no answer\r\n\r\n")
+	}
+}
--- /dev/null
+++ b/internal/standin/site/site.go
@@ -0,0 +1,212 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/peer"
+	"github.com/daisygap/daisygap/internal/adapter/upstream"
+	"github.com/daisygap/daisygap/internal/daemon/steer"
+	"github.com/daisygap/daisygap/internal/standin/instance"
+	"github.com/daisygap/daisygap/internal/standin/port"
+	"github.com/daisygap/daisygap/internal/standin/store"
+	"github.com/daisygap/daisygap/platform"
+)
+
+// Host is the host name of every route.
+const Host = "shop.example"
+
+// Route is one route of the configuration; the zero value of a field takes a default.
+type Route struct {
+	Name     string
+	Prefix   string
+	Kind     string
+	Pool     string
+	Timeout  string
+	Attempts int
+	Homes    []string
+}
+
+// Site is one deployment; set the exported fields before Run.
+type Site struct {
+	// Regions names the region of each domain.
+	Regions map[string]string
+	Routes  []Route
+	Log     *logrus.Logger
+	// Grace is the grace period of a planned stop.
+	Grace daisygap.Millis
+
+	Store   *store.Server
+	Clock   *daisygap.Clock
+	http    *httptest.Server
+	version uint64
+	daemons []*Daemon
+	servers []*instance.Server
+}
+
+// Daemon is one daemon of a site.
+type Daemon struct {
+	Faces    *steer.Faces
+	Settings *daisygap.Settings
+	cancel   context.CancelFunc
+}
+
+// Run starts the store and writes the first configuration.
+func (s *Site) Run() error {
+	s.Clock = &daisygap.Clock{}
+	s.Store = &store.Server{Memory: store.NewMemory(s.Clock)}
+	s.http = httptest.NewServer(s.Store.Handler())
+	return s.Configure(s.Routes)
+}
+
+// Close ends everything.
+func (s *Site) Close() {
+	for _, d := range s.daemons {
+		d.Stop()
+	}
+	for _, i := range s.servers {
+		i.Close()
+	}
+	s.http.CloseClientConnections()
+	s.http.Close()
+}
+
+// Configure writes a new version of the configuration with these routes.
+func (s *Site) Configure(routes []Route) error {
+	s.version += 3
+	pools := make(map[string]bool)
+	var rows, services [][]any
+	for _, r := range routes {
+		pools[r.Pool] = true
+		rows = append(rows, []any{
+			r.Name, Host, r.Prefix, r.Kind, or(r.Timeout, "2000ms"), "300ms", 1, nil, max(r.Attempts, 2), true, r.Homes, r.Pool,
+		})
+	}
+	for p := range pools {
+		services = append(services, []any{p, "/health", 390, "h1", false, "3s", 13.0})
+	}
+	return s.Put("op/config", document(s.version, rows, services))
+}
+
+func or(text, otherwise string) string {
+	if text == "" {
+		return otherwise
+	}
+	return text
+}
+
+func document(version uint64, routes, services [][]any) []byte {
+	data, err := json.Marshal(map[string]any{
+		"version": fmt.Sprintf("%08x", version),
+		"routes": map[string]any{
+			"columns": []string{
+				"name", "host", "prefix", "kind", "timeout", "target_latency", "priority", "traffic_split", "max_attempts",
+				"session_affinity", "home_regions", "service",
+			},
+			"rows": routes,
+		},
+		"services": map[string]any{
+			"columns": []string{"name", "health_check_path", "max_connections", "protocol", "tls", "cold_start", "cold_per_s"},
+			"rows":    services,
+		},
+		"limits": map[string]any{
+			"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout": "3000ms", "idle_timeout": "15000ms",
+		},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// Put writes a key whatever its revision; an empty value deletes it.
+func (s *Site) Put(key string, value []byte) error {
+	ctx := context.Background()
+	for {
+		e, err := s.Store.Memory.Get(ctx, key)
+		if err != nil {
+			return err
+		}
+		_, err = s.Store.Memory.Swap(ctx, key, value, e.Revision, "")
+		if !errors.Is(err, daisygap.ErrConflict) {
+			return err
+		}
+	}
+}
+
+// StartServer starts a server and registers it.
+func (s *Site) StartServer(i *instance.Server) error {
+	if err := i.Run(); err != nil {
+		return err
+	}
+	s.servers = append(s.servers, i)
+	return s.Register(i)
+}
+
+// Register writes a server's entry anew.
+func (s *Site) Register(i *instance.Server) error {
+	return s.Put("servers/"+i.ID, i.Entry())
+}
+
+// Start starts a daemon in a domain that knows others by their peer addresses.
+func (s *Site) Start(name, domain string, peers ...string) (*Daemon, error) {
+	settings := &daisygap.Settings{
+		Host: name, Domain: domain, Region: s.Regions[domain], Peers: peers, Store: s.http.URL,
+		Steering: &daisygap.SteeringSettings{
+			Domains: s.Regions, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10_000, Grace: s.Grace,
+		},
+	}
+	for _, address := range []*string{&settings.Caller, &settings.Peer, &settings.Steering.Directory, &settings.Steering.Ready} {
+		free, err := port.Free()
+		if err != nil {
+			return nil, err
+		}
+		*address = free
+	}
+	d := &steer.Daemon{
+		Settings: settings, Clock: s.Clock,
+		Store:    &platform.Store{Base: s.http.URL, Host: name, HTTP: &http.Client{}},
+		Peers:    &peer.Client{},
+		Upstream: upstream.NewClient(nil, upstream.NewDialer(350, 1_000).DialContext),
+		Protocol: platform.Protocol{}, Catalogue: platform.Catalogue{},
+		Log: daisygap.Log{Prefix: "steer", Out: s.Log},
+	}
+	faces := &steer.Faces{Daemon: d, Others: []steer.Face{
+		{Address: settings.Steering.Directory, Handler: platform.DirectoryHandler(d, 2_000)},
+		{Address: settings.Steering.Ready, Handler: platform.ReadyHandler(d)},
+	}}
+	if err := faces.Open(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.Run(ctx)
+	faces.Run()
+	started := &Daemon{Faces: faces, Settings: settings, cancel: cancel}
+	s.daemons = append(s.daemons, started)
+	return started, nil
+}
+
+// Stop ends a daemon at once, as a kill does.
+func (d *Daemon) Stop() {
+	d.cancel()
+	d.Faces.Close()
+	d.Faces.Daemon.Wait()
+}
+
+// Await waits until a condition holds, or reports that it didn't within a span.
+func Await(span time.Duration, condition func() bool) bool {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return condition()
+}
