Service times are learned from answers that didn't wait

Cause: queues that were estimated too short counted as slow service, which made estimates of waits longer and refused work that would have fitted. Change: an answer that waited can only lower the mean.

--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -324,3 +324,24 @@
 		})
 	}
 }
+
+// TestQueuesDoNotPassForSlowService answers slowly while requests wait, as an upstream does whose queue is longer than estimated.
+func TestQueuesDoNotPassForSlowService(t *testing.T) {
+	f := newFleet("a", "n-1")
+	f.Replace(limits, instances("n-1", 1, 2), nil, 0)
+	p := f.Pool("p")
+	c := p.Choose(query(reads(), 1), 1)
+	p.Done(c, "r", Outcome{Result: Answered, Took: 100}, 1)
+	for now := daisygap.Millis(2); now < 50; now++ {
+		a, b := p.Choose(query(reads(), 1), now), p.Choose(query(reads(), 1), now)
+		c := p.Choose(query(reads(), 1), now)
+		p.Done(a, "r", Outcome{Result: Answered, Took: 100}, now)
+		p.Done(b, "r", Outcome{Result: Answered, Took: 100}, now)
+		if c.Upstream != nil {
+			p.Done(c, "r", Outcome{Result: Answered, Took: 900}, now)
+		}
+	}
+	if got := p.times["r"].warm; got > 110 {
+		t.Errorf("a service of 100 ms counts as %.0f", got)
+	}
+}
--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -246,23 +246,30 @@
 		u.unreached = 0
 		u.setCold(p.limits.ColdSpan, now)
 	}
-	t := p.timesOf(route)
 	held := max(1, float64(o.Took)-c.Wait-p.trip(u))
-	if u.service == 0 {
-		u.service = held
-	}
-	u.service += serviceGain * (held - u.service)
+	// A queue that was estimated too short would pass for slow service, so only a shorter time counts then.
+	queued := c.Wait > 0 || c.Load+1 > float64(u.Slots)
+	follow(&u.service, held, queued)
 	if c.Verdict == Trickle {
 		return
 	}
-	mean := &t.cold
+	t := p.timesOf(route)
 	if c.owner {
-		mean = &t.warm
+		follow(&t.warm, held, queued)
+	} else {
+		follow(&t.cold, held, queued)
 	}
-	if *mean == 0 {
-		*mean = held
+}
+
+// follow moves a running mean towards a value, or only down.
+func follow(mean *float64, value float64, onlyDown bool) {
+	switch {
+	case onlyDown && (*mean == 0 || value >= *mean):
+	case *mean == 0:
+		*mean = value
+	default:
+		*mean += serviceGain * (value - *mean)
 	}
-	*mean += serviceGain * (held - *mean)
 }
 
 func (p *Pool) timesOf(route string) *times {
