Watches gather changes for 250 ms; entries that end together count for 1.2 s at most

Change: a pause of 250 ms after a watch that brought changes; without trouble seen at the store, entries that end together count for 1.2 s; lapses are looked at every 100 ms.

--- a/internal/daemon/steer/control_test.go
+++ b/internal/daemon/steer/control_test.go
@@ -299,3 +299,28 @@
 		t.Errorf("%d repeats of %d requests", more, first)
 	}
 }
+
+// TestManyServersThatLeaveAtOnceGetNoNewWork removes the entries of four of six servers while the store is sound; their last requests must come within the bound.
+func TestManyServersThatLeaveAtOnceGetNoNewWork(t *testing.T) {
+	w := start(t, "n-1", "s-1")
+	// The daemons' own periods have begun, and a change just before makes them gather what follows.
+	time.Sleep(300 * time.Millisecond)
+	w.must(w.Configure(routes))
+	removed := time.Now()
+	var gone []*instance.Server
+	for _, id := range []string{"n-1-stock", "n-2-stock", "n-1-desk", "n-2-desk"} {
+		gone = append(gone, w.servers[id])
+		w.must(w.Put("servers/"+id, nil))
+	}
+	for time.Since(removed) < drainWithin+time.Second {
+		w.flood(20, 2)
+	}
+	for _, s := range gone {
+		for _, r := range s.Runs() {
+			if after := r.At.Sub(removed); after > drainWithin {
+				t.Errorf("%s got a request %v after its entry was removed", s.ID, after)
+				break
+			}
+		}
+	}
+}
--- a/internal/daemon/steer/copy.go
+++ b/internal/daemon/steer/copy.go
@@ -14,9 +14,13 @@
 	// lapseGrace is how long an upstream's entry that lapsed with the store's outage still counts: living ones are back within two seconds.
 	lapseGrace = daisygap.Millis(2_000)
 	// lapseNear is how long after trouble with the store a deletion may be a lapse.
-	lapseNear = daisygap.Millis(5_000)
-	// lapseMany is the number of upstreams whose entries end at once only when leases lapse.
-	lapseMany = 4
+	lapseNear = daisygap.Millis(4_000)
+	// lapseMany is the number of entries that end together when an outage went unnoticed here, and doubtGrace how long they count then;
+	// they may as well be of upstreams that leave, which get no new work after 2.5 s.
+	lapseMany  = 4
+	doubtGrace = daisygap.Millis(1_200)
+	// lapseSpan is the time between two looks for lapsed entries.
+	lapseSpan = daisygap.Millis(100)
 )
 
 var (
@@ -130,11 +134,23 @@
 		}
 	}
 	near := d.copy.trouble > 0 && now-d.copy.trouble < lapseNear
-	if !near && len(ended) < lapseMany {
+	grace := lapseGrace
+	switch {
+	case near:
+	case len(ended) >= lapseMany:
+		grace = doubtGrace
+	default:
 		return
 	}
 	for _, key := range ended {
-		d.copy.lapsed[key] = now + lapseGrace
+		d.copy.lapsed[key] = now + grace
+	}
+}
+
+// runLapses drops entries that lapsed while the store was away and didn't come back.
+func (d *Daemon) runLapses() {
+	for d.pause(lapseSpan) {
+		d.expireLapsed(d.Clock.Now())
 	}
 }
 
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -69,7 +69,7 @@
 	d.budgets.ratio, d.budgets.slack, d.budgets.window = s.Steering.RetryRatio, s.Steering.RetrySlack, s.Steering.RetryWindow
 	d.nameDaemons()
 	d.Log.Event("start", daisygap.Fields{"host": s.Host, "domain": s.Domain, "region": s.Region, "run": d.members.roster.Self.Peer.Incarnation})
-	for _, part := range []func(){d.runWatch, d.runFollow, d.runRegister, d.runGossip, d.runTicks} {
+	for _, part := range []func(){d.runWatch, d.runFollow, d.runRegister, d.runGossip, d.runLapses, d.runTicks} {
 		d.group.Go(part)
 	}
 }
@@ -122,14 +122,13 @@
 	return span*3/4 + daisygap.Millis(rand.Int64N(int64(span)/2+1))
 }
 
-// runTicks adjusts the regions' shares, and drops entries that lapsed while the store was away.
+// runTicks adjusts the regions' shares, and counts the daemons that share limits.
 func (d *Daemon) runTicks() {
 	for d.pause(placement.TickSpan) {
 		now := d.Clock.Now()
 		for _, p := range d.fleet.Pools() {
 			p.Tick(now)
 		}
-		d.expireLapsed(now)
 		d.nameDaemons()
 	}
 }
--- a/internal/daemon/steer/watch.go
+++ b/internal/daemon/steer/watch.go
@@ -13,6 +13,8 @@
 const (
 	// watchSpan is how long one watch waits; a longer one saves calls but hides a silent connection for longer.
 	watchSpan = daisygap.Millis(8_000)
+	// gatherSpan is the pause after a watch that brought changes, so that changes in quick succession cost one call.
+	gatherSpan = daisygap.Millis(250)
 	// retrySpan is the pause after a failed call to the store.
 	retrySpan = daisygap.Millis(800)
 	// leaseSpan is the length of the lease of a daemon's entry, and renewSpan the time between two renewals.
@@ -91,7 +93,9 @@
 	if err != nil {
 		return err
 	}
-	d.apply(daisygap.Update{Entries: b.Entries, Revision: b.Revision}, "store")
+	if d.apply(daisygap.Update{Entries: b.Entries, Revision: b.Revision}, "store") > 0 {
+		d.pause(gatherSpan)
+	}
 	return nil
 }
 
