Connections that go silent break after 550 ms and leave the upstream out

Cause: an upstream that lost power held each request on a kept connection for a second, and only a refused dial left it out. Change: sent bytes that stay unacknowledged for two retransmissions break the connection, and the upstream counts as unreachable.

--- a/internal/command/serve/steer.go
+++ b/internal/command/serve/steer.go
@@ -25,8 +25,8 @@
 const (
 	// dialTimeout covers five round trips between regions of 70 ms.
 	dialTimeout = daisygap.Millis(350)
-	// silentTimeout is how long an upstream may leave sent bytes unacknowledged.
-	silentTimeout = daisygap.Millis(1_000)
+	// silentTimeout is how long an upstream or a peer may leave sent bytes unacknowledged: two retransmissions over 70 ms.
+	silentTimeout = daisygap.Millis(550)
 	// storeSilent is the same for the store.
 	storeSilent = daisygap.Millis(1_500)
 	// idleUpstream is how long a connection is kept unused; upstreams close theirs after ten seconds.
--- a/internal/daemon/steer/answer.go
+++ b/internal/daemon/steer/answer.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -194,6 +195,9 @@
 		}
 	case a.state == broken:
 		o.Result = placement.Failed
+		if errors.Is(a.err, syscall.ETIMEDOUT) {
+			o.Result = placement.Unreached
+		}
 		if a.res == nil && e.ctx.Err() == nil {
 			d.crashes.broken(c.Upstream.ID, e.print, now)
 		}
