Large answers stay in their region until it proves too busy

Cause: a region with a small part of a pool's slots gave away a fifth of its downloads from the start, and those that couldn't be on time went to the shortest queue anywhere. Change: for large answers the share that stays is counted from all; late ones take the nearest owner. The new test failed before for both.

--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -345,3 +345,21 @@
 		t.Errorf("a service of 100 ms counts as %.0f", got)
 	}
 }
+
+// TestBulkStaysInItsRegionWhileThatIsIdle has a region with a small part of the slots, which would share its other objects.
+func TestBulkStaysInItsRegionWhileThatIsIdle(t *testing.T) {
+	for _, target := range []daisygap.Millis{300, 20} {
+		f := newFleet("a", "n-1")
+		f.Replace(limits, append(instances("n-2", 1, 6), instances("s-1", 8, 6)...), nil, 0)
+		r := reads()
+		r.Bulk, r.Target = true, target
+		p := f.Pool("p")
+		for object := range uint64(100) {
+			c := p.Choose(query(r, object), 1)
+			if c.Upstream.Region != "north" {
+				t.Errorf("target %d: object %d is fetched from the %s", target, object, c.Upstream.Region)
+			}
+			p.Done(c, "r", Outcome{Result: Answered, Took: 100}, 1)
+		}
+	}
+}
--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -81,8 +81,9 @@
 	regions []string
 	// shareOf returns this daemon's part of the rate that a cold upstream bears.
 	shareOf func(id string, rate float64) float64
-	// stay is the part of the objects that the own region serves.
+	// stay is the part of the objects that the own region serves, and fair what it was at the start.
 	stay    float64
+	fair    float64
 	started bool
 	spill   float64
 	// troubled is until when requests may leave their region without limit.
@@ -108,7 +109,8 @@
 	p.upstreams, p.regions = list, regionsOf(list)
 	if !p.started && len(list) > 0 {
 		p.started = true
-		p.stay = p.fairStay()
+		p.fair = p.fairStay()
+		p.stay = p.fair
 	}
 }
 
--- a/internal/policy/placement/search.go
+++ b/internal/policy/placement/search.go
@@ -153,7 +153,7 @@
 	return s.pick(best, Second, false)
 }
 
-// late takes an owner whose queue is short, when nothing can be on time.
+// late takes the owner with the shortest queue, or the nearest for large answers, when nothing can be on time.
 func (s *search) late() (Choice, bool) {
 	most := lateShare[min(max(s.q.Route.Rank, 0), len(lateShare)-1)]
 	var best *Upstream
@@ -166,7 +166,7 @@
 		if wait > most*held || wait+s.p.trip(u)+held > float64(s.q.Left) {
 			continue
 		}
-		if best == nil || wait < best.wait(s.now, s.service) {
+		if best == nil || !s.q.Route.Bulk && wait < best.wait(s.now, s.service) {
 			best = u
 		}
 	}
@@ -194,7 +194,12 @@
 	for _, u := range able {
 		slots[u.Region] += float64(u.Slots)
 	}
-	if slots[p.Region] > 0 && (len(slots) == 1 || unit(mix(q.Object)) < p.stay) {
+	stay := p.stay
+	if q.Route.Bulk && p.fair > 0 {
+		// Large answers cross regions only once the own one has proved too busy.
+		stay /= p.fair
+	}
+	if slots[p.Region] > 0 && (len(slots) == 1 || unit(mix(q.Object)) < stay) {
 		return p.Region
 	}
 	home, top := "", -1.0
