Objects begin with one region for all callers and come home while there is room

Change: an object that doesn't stay with its callers' region belongs to one region for all, by rendezvous over the regions weighted by their slots; the share that stays begins at nothing and grows while the own region is idle. Large answers begin at home.

--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -81,11 +81,11 @@
 	regions []string
 	// shareOf returns this daemon's part of the rate that a cold upstream bears.
 	shareOf func(id string, rate float64) float64
-	// stay is the part of the objects that the own region serves, and fair what it was at the start.
-	stay    float64
-	fair    float64
-	started bool
-	spill   float64
+	// stay is the part of the objects that the own region serves for its callers, and bulkStay the same for large answers.
+	stay     float64
+	bulkStay float64
+	started  bool
+	spill    float64
 	// troubled is until when requests may leave their region without limit.
 	troubled daisygap.Millis
 	trips    map[string]float64
@@ -109,8 +109,7 @@
 	p.upstreams, p.regions = list, regionsOf(list)
 	if !p.started && len(list) > 0 {
 		p.started = true
-		p.fair = p.fairStay()
-		p.stay = p.fair
+		p.bulkStay = 1
 	}
 }
 
--- a/internal/policy/placement/search.go
+++ b/internal/policy/placement/search.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"math"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/daisygap/daisygap"
@@ -188,28 +190,32 @@
 	return Choice{Verdict: Full, Load: u.load(s.now), Wait: wait, Retry: min(max(retry, retryLeast), retryMost)}
 }
 
-// homeOf returns the region where a query's object belongs: the own one for a share of the objects, else another by weight of slots.
+// homeOf returns the region where a query's object belongs: the own one for a share of the objects, else that of the one region for all callers.
 func (p *Pool) homeOf(q Query, able []*Upstream) string {
 	slots := make(map[string]float64)
 	for _, u := range able {
 		slots[u.Region] += float64(u.Slots)
 	}
 	stay := p.stay
-	if q.Route.Bulk && p.fair > 0 {
-		// Large answers cross regions only once the own one has proved too busy.
-		stay /= p.fair
+	if q.Route.Bulk {
+		stay = p.bulkStay
 	}
-	if slots[p.Region] > 0 && (len(slots) == 1 || unit(mix(q.Object)) < stay) {
+	if slots[p.Region] > 0 && unit(mix(q.Object)) < stay {
 		return p.Region
 	}
 	home, top := "", -1.0
 	for _, region := range p.regions {
-		if region == p.Region || slots[region] == 0 {
+		if slots[region] == 0 {
 			continue
 		}
-		if weight := slots[region] * unit(mix(q.Object^xxhash.Sum64String(region))); weight > top {
-			home, top = region, weight
+		if rank := weighted(q.Object^xxhash.Sum64String(region), slots[region]); rank > top {
+			home, top = region, rank
 		}
 	}
 	return home
 }
+
+// weighted orders regions by rendezvous hashing, each first in proportion to its weight.
+func weighted(hash uint64, weight float64) float64 {
+	return math.Pow(unit(mix(hash)), 1/weight)
+}
--- a/internal/policy/placement/stay.go
+++ b/internal/policy/placement/stay.go
@@ -10,25 +10,8 @@
 	// busy and idle are the parts of the own region's slots between which the share rests.
 	busy = 0.8
 	idle = 0.6
-	// overFair is the share at the start against an even spread of all work over the regions.
-	overFair = 1.6
 )
 
-// fairStay is the share of objects that the own region's slots bear if all regions see the same work.
-func (p *Pool) fairStay() float64 {
-	own, all := 0.0, 0.0
-	for _, u := range p.upstreams {
-		all += float64(u.Slots)
-		if u.Region == p.Region {
-			own += float64(u.Slots)
-		}
-	}
-	if all == 0 {
-		return 1
-	}
-	return min(1, overFair*own/all*float64(len(p.regions)))
-}
-
 // Tick adjusts the part of the objects that the own region serves by the load of its upstreams and the others'.
 func (p *Pool) Tick(now daisygap.Millis) {
 	p.mu.Lock()
@@ -52,8 +35,8 @@
 	near, away := own/ownSlots, far/farSlots
 	switch {
 	case near > busy && away < near:
-		p.stay = max(0, p.stay-stayStep)
+		p.stay, p.bulkStay = max(0, p.stay-stayStep), max(0, p.bulkStay-stayStep)
 	case near < idle || away > near:
-		p.stay = min(1, p.stay+stayStep)
+		p.stay, p.bulkStay = min(1, p.stay+stayStep), min(1, p.bulkStay+stayStep)
 	}
 }
