--- a/internal/policy/placement/stay.go
+++ b/internal/policy/placement/stay.go
@@ -9,7 +9,7 @@
 	stayStep = 0.02
 	// busy and idle are the parts of the own region's slots between which the share rests.
 	busy = 0.8
-	idle = 0.6
+	idle = 0.4
 )
 
 // Tick adjusts the part of the objects that the own region serves by the load of its upstreams and the others'.
