A request's story from the daemons' logs: daisygap trace, bounded lines, three walks

Cause: an on-call engineer had no way from a request's id to its cause; the first walk showed that a broken answer's line didn't name the upstream, and that a request whose only upstream shed it was explained as unreachable. Change: each line names its host; failed offers have a line with upstream, estimates and error; lines over 20 a second of one kind are counted and said; daisygap trace reads logs of any number of daemons and adds what they learned in the five seconds before.

--- /dev/null
+++ b/internal/command/operate/trace.go
@@ -0,0 +1,185 @@
+package operate
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/command/term"
+)
+
+const (
+	// contextSpan is how long before a request's first line the daemons' other news are shown.
+	contextSpan = 5 * time.Second
+	// maxLine is the longest log line in bytes that is read.
+	maxLine = 1 << 20
+)
+
+// Trace is daisygap trace.
+type Trace struct {
+	about
+	Output term.Output
+	// In is read when no file is named.
+	In io.Reader
+}
+
+// NewTrace returns the command.
+func NewTrace(o term.Output) *Trace {
+	return &Trace{Output: o, In: os.Stdin, about: about{
+		name:     "trace",
+		synopsis: "tell the story of one request from the daemons' logs",
+		usage: "trace REQUEST-ID [FILE...]\n" +
+			"  Reads JSON log lines of any number of daemons from files or standard input; what stands before the\n" +
+			"  brace of a line is passed over. Prints the lines of the request in order, and before them what its\n" +
+			"  daemons learned in the five seconds before of the store, the configuration and its upstreams.\n",
+	}}
+}
+
+// SetFlags defines no flags.
+func (*Trace) SetFlags(*flag.FlagSet) {}
+
+// Execute prints the story, and fails when no line names the request.
+func (c *Trace) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		return subcommands.ExitUsageError
+	}
+	var lines []logLine
+	for _, name := range f.Args()[1:] {
+		file, err := os.Open(name)
+		if err != nil {
+			return c.Output.Fail(daisygap.Fail("read log", name, err))
+		}
+		found, err := readLog(file)
+		_ = file.Close()
+		if err != nil {
+			return c.Output.Fail(daisygap.Fail("read log", name, err))
+		}
+		lines = append(lines, found...)
+	}
+	if f.NArg() == 1 {
+		found, err := readLog(c.In)
+		if err != nil {
+			return c.Output.Fail(daisygap.Fail("read log", "standard input", err))
+		}
+		lines = found
+	}
+	story := storyOf(f.Arg(0), lines)
+	if len(story) == 0 {
+		c.Output.Printf("no line names request %s; it may be one of the lines left out, which the logs count", f.Arg(0))
+		return term.ExitFailed
+	}
+	for _, l := range story {
+		c.Output.Printf("%s", l.text())
+	}
+	return subcommands.ExitSuccess
+}
+
+// logLine is one line of a daemon's log.
+type logLine struct {
+	at     time.Time
+	host   string
+	event  string
+	fields map[string]any
+}
+
+func readLog(in io.Reader) ([]logLine, error) {
+	var lines []logLine
+	s := bufio.NewScanner(in)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		if l, ok := parseLine(s.Bytes()); ok {
+			lines = append(lines, l)
+		}
+	}
+	return lines, s.Err()
+}
+
+// parseLine reads one line; a line that is no event of a daemon, such as one that was cut short, is passed over.
+func parseLine(data []byte) (logLine, bool) {
+	start := bytes.IndexByte(data, '{')
+	if start < 0 {
+		return logLine{}, false
+	}
+	var fields map[string]any
+	if json.Unmarshal(data[start:], &fields) != nil {
+		return logLine{}, false
+	}
+	text := func(name string) string {
+		value, _ := fields[name].(string)
+		delete(fields, name)
+		return value
+	}
+	at, err := time.Parse(time.RFC3339, text("time"))
+	l := logLine{at: at, host: text("host"), event: text("msg"), fields: fields}
+	delete(fields, "level")
+	delete(fields, "part")
+	return l, err == nil && l.event != ""
+}
+
+// storyOf returns the lines of a request, and what its daemons learned shortly before that bears on it.
+func storyOf(id string, lines []logLine) []logLine {
+	hosts, upstreams := make(map[string]bool), make(map[string]bool)
+	var first, last time.Time
+	for _, l := range lines {
+		if l.fields["id"] != id {
+			continue
+		}
+		hosts[l.host] = true
+		if u, ok := l.fields["upstream"].(string); ok {
+			upstreams[u] = true
+		}
+		if first.IsZero() || l.at.Before(first) {
+			first = l.at
+		}
+		if l.at.After(last) {
+			last = l.at
+		}
+	}
+	story := slices.DeleteFunc(slices.Clone(lines), func(l logLine) bool {
+		if l.fields["id"] == id {
+			return false
+		}
+		near := l.at.After(first.Add(-contextSpan)) && !l.at.After(last)
+		return !near || !hosts[l.host] || !bears(l, upstreams)
+	})
+	slices.SortStableFunc(story, func(a, b logLine) int { return a.at.Compare(b.at) })
+	return story
+}
+
+// bears tells whether an event changed what a daemon believed about the request's surroundings.
+func bears(l logLine, upstreams map[string]bool) bool {
+	switch l.event {
+	case "start", "stop", "stopped", "reload", "configuration", "evacuation", "store lost", "store reached", "lease lapsed":
+		return true
+	case "upstream", "entry ended":
+		key, _ := l.fields["key"].(string)
+		return upstreams[key[strings.LastIndexByte(key, '/')+1:]]
+	}
+	return false
+}
+
+// text writes a line with its fields in order of their names.
+func (l logLine) text() string {
+	names := make([]string, 0, len(l.fields))
+	for name := range l.fields {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s %s", l.at.UTC().Format("15:04:05.000"), l.host, l.event)
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s=%s", name, strings.ReplaceAll(fmt.Sprint(l.fields[name]), "\n", "; "))
+	}
+	return b.String()
+}
--- a/internal/command/run/main.go
+++ b/internal/command/run/main.go
@@ -38,6 +38,7 @@
 	commander.Register(operate.NewDrain(o), "operators")
 	commander.Register(operate.NewLookup(o), "operators")
 	commander.Register(operate.NewExplain(o), "operators")
+	commander.Register(operate.NewTrace(o), "operators")
 	commander.Register(operate.NewRefusals(o), "operators")
 	commander.Register(&versionCommand{output: o}, "operators")
 	if err := flags.Parse(args); err != nil {
--- a/internal/command/serve/steer.go
+++ b/internal/command/serve/steer.go
@@ -64,7 +64,7 @@
 	if level, err := logrus.ParseLevel(s.Level); err == nil {
 		out.SetLevel(level)
 	}
-	return daisygap.Log{Prefix: "steer", Out: out}
+	return daisygap.Log{Prefix: "steer", Host: s.Host, Out: out}
 }
 
 func buildSteering(s *daisygap.Settings, log daisygap.Log) *steer.Faces {
--- a/internal/daemon/steer/account.go
+++ b/internal/daemon/steer/account.go
@@ -43,7 +43,8 @@
 	lines  int
 }
 
-func (l *eventLimits) allow(kind string, now daisygap.Millis) bool {
+// allow reports whether a line of a kind may be written, and how many were left out since the last one.
+func (l *eventLimits) allow(kind string, now daisygap.Millis) (allowed bool, leftOut int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.counts == nil {
@@ -51,15 +52,25 @@
 	}
 	c := l.counts[kind]
 	if second := now / 1_000; c.second != second {
+		leftOut = max(0, c.lines-eventRate)
 		c = eventCount{second: second}
 	}
 	c.lines++
 	l.counts[kind] = c
-	if c.lines > eventRate {
+	return c.lines <= eventRate, leftOut
+}
+
+// event writes a line unless the rate of its kind is used up; what was left out is said later.
+func (d *Daemon) event(name, kind string, fields func() daisygap.Fields) {
+	allowed, leftOut := d.events.allow(kind, d.Clock.Now())
+	if leftOut > 0 {
+		d.Log.Event("lines left out", daisygap.Fields{"of": name, "kind": kind, "lines": leftOut})
+	}
+	if !allowed {
 		droppedEvents.Inc()
-		return false
+		return
 	}
-	return true
+	d.Log.Event(name, fields())
 }
 
 // budgets are this daemon's parts of the retry budgets, by pool.
--- a/internal/daemon/steer/answer.go
+++ b/internal/daemon/steer/answer.go
@@ -285,36 +285,41 @@
 	if a.res.StatusCode >= http.StatusInternalServerError {
 		kind = "failed answer"
 	}
-	if !e.d.events.allow(kind, e.started) {
-		return
-	}
-	f := e.fields(a)
-	f["status"], f["took_ms"] = a.res.StatusCode, took
-	e.d.Log.Event(kind, f)
+	e.d.event(kind, kind, func() daisygap.Fields {
+		f := e.fields(a)
+		f["status"], f["took_ms"] = a.res.StatusCode, took
+		return f
+	})
 }
 
 func (e *exchange) logRefusal(status int, reason daisygap.Reason, run daisygap.RunState, c placement.Choice) {
-	if !e.d.events.allow(string(reason), e.started) {
-		return
-	}
-	f := e.fields(nil)
-	f["status"], f["reason"], f["run"], f["verdict"] = status, reason, run, c.Verdict
-	f["load"], f["wait_ms"], f["retry_ms"], f["took_ms"] = c.Load, int(c.Wait), c.Retry, e.d.Clock.Now()-e.started
-	e.d.Log.Event("refusal", f)
+	e.d.event("refusal", string(reason), func() daisygap.Fields {
+		f := e.fields(nil)
+		f["status"], f["reason"], f["run"], f["verdict"] = status, reason, run, c.Verdict
+		f["load"], f["wait_ms"], f["retry_ms"], f["took_ms"] = c.Load, int(c.Wait), c.Retry, e.d.Clock.Now()-e.started
+		return f
+	})
 }
 
-func (e *exchange) logRetry(reason daisygap.Reason) {
-	if e.d.events.allow("retry", e.started) {
-		f := e.fields(nil)
+// logFailedOffer says which upstream failed the request, and how.
+func (e *exchange) logFailedOffer(a *answer) {
+	e.d.event("offer failed", "offer failed "+string(a.reason), func() daisygap.Fields {
+		f := e.fields(a)
+		f["reason"] = a.reason
+		return f
+	})
+}
+
+func (e *exchange) logRetry(a *answer, reason daisygap.Reason) {
+	e.d.event("retry", "retry "+string(reason), func() daisygap.Fields {
+		f := e.fields(a)
 		f["reason"] = reason
-		e.d.Log.Event("retry", f)
-	}
+		return f
+	})
 }
 
 func (e *exchange) logEnd(kind string, a *answer) {
-	if e.d.events.allow(kind, e.started) {
-		e.d.Log.Event(kind, e.fields(a))
-	}
+	e.d.event(kind, kind, func() daisygap.Fields { return e.fields(a) })
 }
 
 // fields are the inputs of a decision about this request.
--- a/internal/daemon/steer/carry.go
+++ b/internal/daemon/steer/carry.go
@@ -47,6 +47,8 @@
 	unreached int
 	// repeats counts the arrivals after the first.
 	arrivals int
+	// reason is why the last offer failed.
+	reason daisygap.Reason
 	// fallback is an upstream's failure that is delivered when no other upstream does better.
 	fallback *answer
 }
@@ -172,7 +174,11 @@
 		Elapsed: now - e.started, Left: e.deadline - now, Tried: e.tried,
 	}, now)
 	if c.Upstream == nil {
-		e.end(reasonOf(c.Verdict), c)
+		reason := reasonOf(c.Verdict)
+		if c.Verdict == placement.Tried {
+			reason = e.reason
+		}
+		e.end(reason, c)
 		return c, false
 	}
 	return c, true
@@ -198,8 +204,8 @@
 	}
 	switch a.state {
 	case whole:
-		if a.res.StatusCode >= http.StatusInternalServerError && e.mayRepeat(daisygap.ReasonUpstreamFailed) {
-			e.fallback = a
+		if a.res.StatusCode >= http.StatusInternalServerError && e.mayRepeat(a, daisygap.ReasonUpstreamFailed) {
+			e.fallback, e.reason = a, daisygap.ReasonUpstreamFailed
 			return false
 		}
 		e.deliver(a)
@@ -208,8 +214,10 @@
 		e.stream(a)
 		return true
 	}
-	if e.ctx.Err() != nil || !e.mayRepeat(a.reason) {
-		e.end(a.reason, placement.Choice{Verdict: placement.Full, Retry: retryAfterFailure})
+	e.reason = a.reason
+	e.logFailedOffer(a)
+	if e.ctx.Err() != nil || !e.mayRepeat(a, a.reason) {
+		e.end(a.reason, placement.Choice{Retry: retryAfterFailure})
 		return true
 	}
 	return false
@@ -219,7 +227,7 @@
 const retryAfterFailure = daisygap.Millis(100)
 
 // mayRepeat tells whether the request may go to another upstream, and spends the budget for it.
-func (e *exchange) mayRepeat(reason daisygap.Reason) bool {
+func (e *exchange) mayRepeat(a *answer, reason daisygap.Reason) bool {
 	now := e.d.Clock.Now()
 	switch {
 	case e.rest != nil:
@@ -240,7 +248,7 @@
 		return false
 	}
 	countRetry(reason)
-	e.logRetry(reason)
+	e.logRetry(a, reason)
 	return true
 }
 
--- a/internal/daemon/steer/copy.go
+++ b/internal/daemon/steer/copy.go
@@ -81,9 +81,9 @@
 	fact, err := d.Catalogue.Decode(e)
 	if err != nil {
 		foreignEntries.Inc()
-		if d.events.allow("foreign entry", d.Clock.Now()) {
-			d.Log.Event("foreign entry", daisygap.Fields{"key": e.Key, "revision": e.Revision, "error": err.Error()})
-		}
+		d.event("foreign entry", "foreign entry", func() daisygap.Fields {
+			return daisygap.Fields{"key": e.Key, "revision": e.Revision, "error": err.Error()}
+		})
 		if fact.Steering == nil && c.facts[e.Key].Steering != nil {
 			return
 		}
--- a/internal/daemon/steer/stray.go
+++ b/internal/daemon/steer/stray.go
@@ -17,10 +17,10 @@
 // Write takes one line.
 func (s strayLog) Write(line []byte) (int, error) {
 	libraryLines.Inc()
-	if s.d.events.allow("library", s.d.Clock.Now()) {
+	s.d.event("library", "library", func() daisygap.Fields {
 		text := strings.TrimSpace(string(line))
-		s.d.Log.Event("library", daisygap.Fields{"text": text[:min(len(text), maxStray)]})
-	}
+		return daisygap.Fields{"text": text[:min(len(text), maxStray)]}
+	})
 	return len(line), nil
 }
 
--- /dev/null
+++ b/internal/daemon/steer/walk_test.go
@@ -0,0 +1,183 @@
+package steer_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/subcommands"
+	"github.com/sirupsen/logrus"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/command/operate"
+	"github.com/daisygap/daisygap/internal/command/term"
+	"github.com/daisygap/daisygap/internal/standin/instance"
+	"github.com/daisygap/daisygap/internal/standin/site"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// record is the log of all daemons of a site.
+type record struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (r *record) Write(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.buffer.Write(p)
+}
+
+func (r *record) text() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.buffer.String()
+}
+
+// startLogged starts a site of one daemon whose log is recorded.
+func startLogged(t *testing.T, domain string, pools ...string) (*world, *record) {
+	t.Helper()
+	r := &record{}
+	out := logrus.New()
+	out.SetOutput(r)
+	out.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	w := &world{
+		Site: &site.Site{Regions: regions, Routes: routes, Grace: 2_000, Log: out}, t: t,
+		servers: make(map[string]*instance.Server),
+	}
+	w.must(w.Run())
+	t.Cleanup(w.Close)
+	for _, pool := range pools {
+		w.startServer(domain+"-"+pool, pool, domain)
+	}
+	d, err := w.Start("host-0", domain)
+	w.must(err)
+	w.daemons = append(w.daemons, d)
+	w.await("the daemon to be ready", d.Faces.Daemon.Ready)
+	return w, r
+}
+
+// trace runs the operators' command on a log.
+func trace(t *testing.T, id, log string) string {
+	t.Helper()
+	var out bytes.Buffer
+	c := operate.NewTrace(term.Output{Out: &out, Err: &out})
+	c.In = strings.NewReader(log)
+	flags := flag.NewFlagSet("trace", flag.ContinueOnError)
+	if err := flags.Parse([]string{id}); err != nil {
+		t.Fatal(err)
+	}
+	if status := c.Execute(context.Background(), flags); status != subcommands.ExitSuccess {
+		t.Fatalf("status %d: %s", status, out.String())
+	}
+	return out.String()
+}
+
+// What differs from run to run.
+var varying = []struct{ from, to string }{
+	{`\d\d:\d\d:\d\d\.\d{3}`, "TIME"},
+	{`request-\d+`, "REQUEST"},
+	{`run=\w{8,}`, "run=RUN"},
+	{`127\.0\.0\.1:\d+`, "ADDRESS"},
+	{` error=.*?( \w+=)`, " error=ERROR$1"},
+	{`(_ms|load|wait|revision|in_flight)=-?[\d.e-]+`, "$1=N"},
+}
+
+// compareWalk compares a story with its golden file.
+func compareWalk(t *testing.T, name, story string) {
+	t.Helper()
+	for _, v := range varying {
+		story = regexp.MustCompile(v.from).ReplaceAllString(story, v.to)
+	}
+	file := filepath.Join("testdata", name+".golden")
+	if *update {
+		if err := os.WriteFile(file, []byte(story), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), story); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+func TestWalkRefusedInAnOverload(t *testing.T) {
+	w, log := startLogged(t, "n-1", "desk")
+	w.servers["n-1-desk"].Slots = 1
+	w.servers["n-1-desk"].Service = 200
+	w.must(w.Register(w.servers["n-1-desk"]))
+	w.await("the entry", func() bool { return strings.Count(log.text(), `"key":"servers/n-1-desk"`) > 1 })
+	var group sync.WaitGroup
+	refused := make(chan string, 20)
+	for i := range 12 {
+		client := newClient(t)
+		group.Go(func() {
+			if got := w.ask(client, w.daemons[0], http.MethodPost, fmt.Sprintf("/orders/%d", i), ""); got.header.Get(daisygap.HeaderReason) == string(daisygap.ReasonQueueFull) {
+				refused <- got.id
+			}
+		})
+	}
+	group.Wait()
+	if len(refused) == 0 {
+		t.Fatal("nothing was refused")
+	}
+	compareWalk(t, "overload", trace(t, <-refused, log.text()))
+}
+
+func TestWalkFailedAfterAServerBrokeItsAnswer(t *testing.T) {
+	w, log := startLogged(t, "n-1", "desk")
+	w.setFault(instance.Cut, "desk")
+	got := w.ask(newClient(t), w.daemons[0], http.MethodPost, "/orders/1", "an order")
+	if got.status != http.StatusBadGateway {
+		t.Fatalf("status %d", got.status)
+	}
+	compareWalk(t, "broken", trace(t, got.id, log.text()))
+}
+
+func TestWalkLateAroundAConfigurationAndAPlannedStop(t *testing.T) {
+	w, log := startLogged(t, "n-1", "stock")
+	w.setFault(instance.Silent, "stock")
+	w.must(w.Configure(routes))
+	w.await("the new version", func() bool { return strings.Contains(log.text(), `"version":6`) })
+	w.daemons[0].Faces.Daemon.Leave()
+	got := w.ask(newClient(t), w.daemons[0], http.MethodGet, "/brief/1", "")
+	if got.status != http.StatusGatewayTimeout {
+		t.Fatalf("status %d", got.status)
+	}
+	compareWalk(t, "stop", trace(t, got.id, log.text()))
+}
+
+// TestLogIsBounded refuses thousands of requests, and counts the lines.
+func TestLogIsBounded(t *testing.T) {
+	w, log := startLogged(t, "n-1")
+	client := newClient(t)
+	started := time.Now()
+	const count = 2_000
+	for i := range count {
+		w.ask(client, w.daemons[0], http.MethodPost, fmt.Sprintf("/orders/%d", i), "")
+	}
+	time.Sleep(1100 * time.Millisecond)
+	w.ask(client, w.daemons[0], http.MethodPost, "/orders/last", "")
+	text := log.text()
+	seconds := int(time.Since(started).Seconds()) + 2
+	if n := strings.Count(text, `"msg":"refusal"`); n == 0 || n > 20*seconds {
+		t.Errorf("%d lines for %d refusals in %d s", n, count, seconds)
+	}
+	if !strings.Contains(text, `"lines left out"`) {
+		t.Error("what was left out is not said")
+	}
+}
--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -42,7 +42,7 @@
 // Verdict says why a choice came out as it did.
 type Verdict string
 
-// The verdicts of a choice; the last four are refusals.
+// The verdicts of a choice; the last five are refusals.
 const (
 	Owner     Verdict = "owner"
 	Second    Verdict = "second"
@@ -50,6 +50,7 @@
 	Late      Verdict = "late"
 	Trickle   Verdict = "cold"
 	Full      Verdict = "full"
+	Tried     Verdict = "tried"
 	Down      Verdict = "down"
 	Empty     Verdict = "empty"
 	Forbidden Verdict = "forbidden"
@@ -151,7 +152,9 @@
 			if verdict == Empty {
 				verdict = Forbidden
 			}
-		case q.Tried[u] || u.isDown(now):
+		case q.Tried[u]:
+			verdict = Tried
+		case u.isDown(now):
 			verdict = Down
 		case u.isCold(now):
 			cold = append(cold, u)
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -177,7 +177,7 @@
 		Peers:    &peer.Client{},
 		Upstream: upstream.NewClient(nil, upstream.NewDialer(350, 1_000).DialContext),
 		Protocol: platform.Protocol{}, Catalogue: platform.Catalogue{},
-		Log: daisygap.Log{Prefix: "steer", Out: s.Log},
+		Log: daisygap.Log{Prefix: "steer", Host: name, Out: s.Log},
 	}
 	faces := &steer.Faces{Daemon: d, Others: []steer.Face{
 		{Address: settings.Steering.Directory, Handler: platform.DirectoryHandler(d, 2_000)},
--- a/log.go
+++ b/log.go
@@ -8,12 +8,14 @@
 // Log writes one part's short sentences with its fixed prefix.
 type Log struct {
 	Prefix string
-	Out    *logrus.Logger
+	// Host is named on each event's line, so that the lines of several daemons can be read together.
+	Host string
+	Out  *logrus.Logger
 }
 
 // With returns a log for another part.
 func (l Log) With(prefix string) Log {
-	return Log{Prefix: prefix, Out: l.Out}
+	return Log{Prefix: prefix, Host: l.Host, Out: l.Out}
 }
 
 // Debugf writes a line for developers.
@@ -36,7 +38,7 @@
 	if l.Out == nil || !l.Out.IsLevelEnabled(logrus.InfoLevel) {
 		return
 	}
-	l.Out.WithField("part", l.Prefix).WithFields(f).Info(name)
+	l.Out.WithFields(logrus.Fields{"part": l.Prefix, "host": l.Host}).WithFields(f).Info(name)
 }
 
 func (l Log) write(level logrus.Level, format string, args []any) {
