Two daemons of a region watch the store; the others wait at them

Trouble with the store is told along with the changes. Tests of relays that die, and of few watches.

--- a/gossip.go
+++ b/gossip.go
@@ -1,5 +1,7 @@
 package daisygap
 
+import "context"
+
 // Pulse is one daemon's sign of life, as daemons hand it on.
 type Pulse struct {
 	Peer Peer `json:"p"`
@@ -32,18 +34,20 @@
 	Revision uint64 `json:"r"`
 	// Full tells that entries which aren't named don't exist.
 	Full bool `json:"f,omitempty"`
+	// Trouble is the time since the sender last had trouble with the store, or 0 if it had none lately.
+	Trouble Millis `json:"t,omitempty"`
 }
 
 // SteeringPeers calls other daemons on the platform.
 type SteeringPeers interface {
 	// Gossip exchanges signs of life.
 	Gossip(address string, g Gossip) (Gossip, error)
-	// Mirror fetches the store's entries that changed after a revision.
-	Mirror(address string, after uint64) (Update, error)
+	// Mirror fetches the store's entries that changed after a revision, and waits up to a span for the first.
+	Mirror(ctx context.Context, address string, after uint64, wait Millis) (Update, error)
 }
 
 // SteeringService answers other daemons on the platform.
 type SteeringService interface {
 	ServeGossip(g Gossip) Gossip
-	ServeMirror(after uint64) Update
+	ServeMirror(after uint64, wait Millis) Update
 }
--- a/internal/adapter/peer/steering.go
+++ b/internal/adapter/peer/steering.go
@@ -17,7 +17,8 @@
 var _ daisygap.SteeringPeers = (*Client)(nil)
 
 type mirrorCall struct {
-	After uint64 `json:"a"`
+	After uint64          `json:"a"`
+	Wait  daisygap.Millis `json:"w,omitempty"`
 }
 
 // Gossip exchanges signs of life.
@@ -27,10 +28,10 @@
 	return answer, err
 }
 
-// Mirror fetches the store's entries that changed after a revision.
-func (c *Client) Mirror(address string, after uint64) (daisygap.Update, error) {
+// Mirror fetches the store's entries that changed after a revision, and waits up to a span for the first.
+func (c *Client) Mirror(ctx context.Context, address string, after uint64, wait daisygap.Millis) (daisygap.Update, error) {
 	var u daisygap.Update
-	err := c.call(context.Background(), address, callTimeout, methodMirror, mirrorCall{After: after}, &u)
+	err := c.call(ctx, address, wait+callTimeout, methodMirror, mirrorCall{After: after, Wait: wait}, &u)
 	return u, err
 }
 
@@ -40,7 +41,7 @@
 	case r.Method == methodGossip:
 		return answer(r, func(g daisygap.Gossip) (daisygap.Gossip, error) { return s.Steering.ServeGossip(g), nil })
 	case r.Method == methodMirror:
-		return answer(r, func(c mirrorCall) (daisygap.Update, error) { return s.Steering.ServeMirror(c.After), nil })
+		return answer(r, func(c mirrorCall) (daisygap.Update, error) { return s.Steering.ServeMirror(c.After, c.Wait), nil })
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 }
--- a/internal/daemon/steer/control_test.go
+++ b/internal/daemon/steer/control_test.go
@@ -324,3 +324,44 @@
 		}
 	}
 }
+
+// TestFewDaemonsWatchTheStore has five daemons of one region, of which two may wait at the store, and a change that reaches all.
+func TestFewDaemonsWatchTheStore(t *testing.T) {
+	w := start(t, "n-1", "n-1", "n-2", "n-2", "n-2")
+	w.settleRelays()
+	w.must(w.Configure(append(routes, site.Route{Name: "new", Prefix: "/new/", Kind: "safe", Pool: "stock"})))
+	changed := time.Now()
+	for _, d := range w.daemons {
+		w.await("the new route", func() bool { return w.serves(d, "/new/1") })
+	}
+	if took := time.Since(changed); took > time.Second {
+		t.Errorf("the change took %v", took)
+	}
+}
+
+// settleRelays wakes the watches that began before the daemons knew each other, until at most two of them wait.
+func (w *world) settleRelays() {
+	w.t.Helper()
+	w.await("few watches", func() bool {
+		w.must(w.Put("elsewhere/x", []byte("x")))
+		time.Sleep(400 * time.Millisecond)
+		n := w.Store.Memory.Counts().Waiting
+		return n > 0 && n <= 2
+	})
+}
+
+// TestRelayThatDiesIsReplaced kills daemons one after another, and changes the configuration right after each.
+func TestRelayThatDiesIsReplaced(t *testing.T) {
+	w := start(t, "n-1", "n-1", "n-2", "n-2", "n-2")
+	w.settleRelays()
+	for i, d := range w.daemons[:4] {
+		d.Stop()
+		prefix := fmt.Sprintf("/new%d/", i)
+		w.must(w.Configure(append(routes, site.Route{Name: "new", Prefix: prefix, Kind: "safe", Pool: "stock"})))
+		for _, d := range w.daemons[i+1:] {
+			if !site.Await(applyWithin, func() bool { return w.serves(d, prefix) }) {
+				t.Errorf("after %d deaths a change didn't arrive in time", i+1)
+			}
+		}
+	}
+}
--- a/internal/daemon/steer/copy.go
+++ b/internal/daemon/steer/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -38,21 +39,30 @@
 	newest map[string]daisygap.Instance
 	// lapsed holds entries that ended with the store's outage, and until when they count.
 	lapsed map[string]daisygap.Millis
-	// trouble is when the store last failed here.
+	// trouble is when the store last failed, here or at the daemon that relays it.
 	trouble daisygap.Millis
-	version uint64
+	// grown is closed when the revision grows.
+	grown chan struct{}
 }
 
 // apply takes an update of the copy in and puts what it says in force.
 func (d *Daemon) apply(u daisygap.Update, from string) int {
 	d.copy.mu.Lock()
 	defer d.copy.mu.Unlock()
+	now := d.Clock.Now()
+	if u.Trouble > 0 {
+		d.copy.trouble = max(d.copy.trouble, now-u.Trouble)
+	}
+	before := d.copy.mirror.Revision()
 	changed := d.copy.mirror.Apply(u)
 	revisionGauge.set(d.copy.mirror.Revision())
+	if d.copy.mirror.Revision() > before && d.copy.grown != nil {
+		close(d.copy.grown)
+		d.copy.grown = nil
+	}
 	if len(changed) == 0 {
 		return 0
 	}
-	now := d.Clock.Now()
 	d.noteLapses(changed, now)
 	for _, e := range changed {
 		d.decode(e, from)
@@ -207,9 +217,41 @@
 	return d.copy.mirror.Revision()
 }
 
-// ServeMirror hands the copy's changes after a revision to another daemon.
-func (d *Daemon) ServeMirror(after uint64) daisygap.Update {
+// ServeMirror hands the copy's changes after a revision to another daemon, and waits up to a span for the first.
+func (d *Daemon) ServeMirror(after uint64, wait daisygap.Millis) daisygap.Update {
+	if wait > 0 {
+		d.awaitRevision(after, min(wait, relaySpan))
+	}
 	d.copy.mu.Lock()
 	defer d.copy.mu.Unlock()
-	return d.copy.mirror.Since(after)
+	u := d.copy.mirror.Since(after)
+	if age := d.Clock.Now() - d.copy.trouble; d.copy.trouble > 0 && age < lapseNear {
+		u.Trouble = age + 1
+	}
+	return u
+}
+
+// awaitRevision waits until the copy is newer than a revision, or for a span.
+func (d *Daemon) awaitRevision(after uint64, span daisygap.Millis) {
+	timer := time.NewTimer(span.Duration())
+	defer timer.Stop()
+	for {
+		d.copy.mu.Lock()
+		if d.copy.mirror.Revision() > after {
+			d.copy.mu.Unlock()
+			return
+		}
+		if d.copy.grown == nil {
+			d.copy.grown = make(chan struct{})
+		}
+		grown := d.copy.grown
+		d.copy.mu.Unlock()
+		select {
+		case <-grown:
+		case <-timer.C:
+			return
+		case <-d.ctx.Done():
+			return
+		}
+	}
 }
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -66,6 +66,7 @@
 		},
 		Start: int64(d.Clock.Wall()),
 	}
+	d.lease.ended = make(chan struct{}, 1)
 	d.budgets.ratio, d.budgets.slack, d.budgets.window = s.Steering.RetryRatio, s.Steering.RetrySlack, s.Steering.RetryWindow
 	d.nameDaemons()
 	d.Log.Event("start", daisygap.Fields{"host": s.Host, "domain": s.Domain, "region": s.Region, "run": d.members.roster.Self.Peer.Incarnation})
@@ -107,11 +108,18 @@
 
 // pause waits for a span, and reports false when the daemon ends.
 func (d *Daemon) pause(span daisygap.Millis) bool {
+	return d.pauseUntil(span, nil)
+}
+
+// pauseUntil waits for a span or until it is woken, and reports false when the daemon ends.
+func (d *Daemon) pauseUntil(span daisygap.Millis, wake <-chan struct{}) bool {
 	timer := time.NewTimer(span.Duration())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 		return true
+	case <-wake:
+		return true
 	case <-d.ctx.Done():
 		return false
 	}
--- a/internal/daemon/steer/gossip.go
+++ b/internal/daemon/steer/gossip.go
@@ -31,6 +31,8 @@
 	roster roster.Roster
 	// stored holds the addresses of daemons registered in the store that weren't heard of yet.
 	stored map[string]daisygap.Peer
+	// resting holds daemons that failed to relay the store, and until when they aren't asked.
+	resting map[string]daisygap.Millis
 	// behind is since when another daemon knows more of the store; 0 when none does.
 	behind daisygap.Millis
 }
@@ -41,6 +43,39 @@
 	return m.roster.Self
 }
 
+// restRelay leaves a daemon out as a relay for a while.
+func (m *members) restRelay(address string, until daisygap.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.resting == nil {
+		m.resting = make(map[string]daisygap.Millis)
+	}
+	m.resting[address] = until
+}
+
+// relay returns the daemon of the own region to wait at for changes of the store, or "" when this one has to watch it.
+func (d *Daemon) relay() string {
+	now := d.Clock.Now()
+	m := &d.members
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self := m.roster.Self.Peer
+	var region []daisygap.Peer
+	for _, p := range m.roster.Alive(now) {
+		if p.Peer.Region == self.Region && !p.Leaving && p.Revision > 0 && now >= m.resting[p.Peer.Address] {
+			region = append(region, p.Peer)
+		}
+	}
+	region = append(region, self)
+	slices.SortFunc(region, func(a, b daisygap.Peer) int { return compareHash(self.Region, a.Name, b.Name) })
+	watchers := region[:min(len(region), relays)]
+	slices.SortFunc(watchers, func(a, b daisygap.Peer) int { return compareHash(self.Name, a.Name, b.Name) })
+	if slices.Contains(watchers, self) {
+		return ""
+	}
+	return watchers[0].Address
+}
+
 // notePeer keeps a daemon's entry in the store as a contact.
 func (d *Daemon) notePeer(p daisygap.Peer) {
 	d.members.mu.Lock()
@@ -145,7 +180,7 @@
 		if !lagging {
 			continue
 		}
-		u, err := d.Peers.Mirror(address, d.revision())
+		u, err := d.Peers.Mirror(d.ctx, address, d.revision(), 0)
 		if err != nil {
 			d.Log.Event("relay failed", daisygap.Fields{"peer": address, "error": err.Error()})
 			continue
