Heartbeats leave out what the store says of a daemon

Cause: control cost 12 KB/s a daemon at 12 daemons and 27 at 88; most of it was the addresses of other daemons, told again in every message. Change: only a daemon's own pulse says how to reach it; others learn that from its entry in the store; a message names at most 24 daemons.

--- a/gossip.go
+++ b/gossip.go
@@ -4,7 +4,9 @@
 
 // Pulse is one daemon's sign of life, as daemons hand it on.
 type Pulse struct {
-	Peer Peer `json:"p"`
+	Name string `json:"n"`
+	// Peer is how to reach the daemon; only its own pulses carry it, since the store names it as well.
+	Peer *Peer `json:"p,omitempty"`
 	// Start is the Unix time in milliseconds of the process's start; Count grows while it lives.
 	Start   int64  `json:"s"`
 	Count   uint64 `json:"c"`
--- /dev/null
+++ b/internal/daemon/steer/bench_test.go
@@ -0,0 +1,120 @@
+package steer_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/daisygap/daisygap/internal/standin/instance"
+	"github.com/daisygap/daisygap/internal/standin/site"
+)
+
+// BenchmarkControl runs the control parts of many daemons without requests, and reports what one of them costs.
+func BenchmarkControl(b *testing.B) {
+	for _, count := range []int{6, 12, 24, 48, 88} {
+		b.Run(strconv.Itoa(count), func(b *testing.B) {
+			for b.Loop() {
+				controlCost(b, count)
+			}
+		})
+	}
+}
+
+func controlCost(b *testing.B, count int) {
+	const seconds = 10
+	s := &site.Site{Regions: regions, Routes: routes, Grace: 2_000}
+	if err := s.Run(); err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	domains := []string{"n-1", "n-2", "s-1"}
+	var peers []string
+	for i := range count {
+		d, err := s.Start(fmt.Sprintf("host-%d", i), domains[i%len(domains)], peers[:min(len(peers), 3)]...)
+		if err != nil {
+			b.Fatal(err)
+		}
+		peers = append(peers, d.Settings.Peer)
+	}
+	time.Sleep(4 * time.Second)
+	calls, sent, cpu := s.Store.Memory.Counts(), peerBytes(b), processorTime(b)
+	for range seconds {
+		if err := s.Configure(routes); err != nil {
+			b.Fatal(err)
+		}
+		time.Sleep(time.Second)
+	}
+	after := s.Store.Memory.Counts()
+	each := float64(seconds * count)
+	b.ReportMetric((peerBytes(b)-sent)/each, "bytes/s")
+	b.ReportMetric(100*(processorTime(b)-cpu).Seconds()/each, "%core")
+	b.ReportMetric(float64(after.Watches+after.Reads-calls.Watches-calls.Reads)/seconds, "reads/s")
+	b.ReportMetric(float64(after.Waiting), "watches")
+}
+
+// peerBytes sums what the daemons of this process read and wrote to each other.
+func peerBytes(b *testing.B) float64 {
+	b.Helper()
+	var out bytes.Buffer
+	metrics.WritePrometheus(&out, false)
+	total := 0.0
+	for line := range strings.Lines(out.String()) {
+		if strings.HasPrefix(line, "daisygap_peer_bytes_total") {
+			n, err := strconv.ParseFloat(strings.Fields(line)[1], 64)
+			if err != nil {
+				b.Fatal(err)
+			}
+			total += n
+		}
+	}
+	return total
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkCarry carries requests to a server that answers at once.
+func BenchmarkCarry(b *testing.B) {
+	s := &site.Site{Regions: regions, Routes: routes, Grace: 2_000}
+	if err := s.Run(); err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	if err := s.StartServer(&instance.Server{ID: "i", Pool: "stock", Domain: "n-1", Slots: 64, Service: 0}); err != nil {
+		b.Fatal(err)
+	}
+	d, err := s.Start("host", "n-1")
+	if err != nil {
+		b.Fatal(err)
+	}
+	if !site.Await(5*time.Second, d.Faces.Daemon.Ready) {
+		b.Fatal("not ready")
+	}
+	time.Sleep(200 * time.Millisecond)
+	b.ReportAllocs()
+	for b.Loop() {
+		r := httptest.NewRequest(http.MethodGet, "/reads/1", nil)
+		r.Host = site.Host
+		r.Header.Set("Request-Id", "a")
+		r.Header.Set("Cookie", "Request-Affinity=1")
+		w := httptest.NewRecorder()
+		d.Faces.Daemon.ServeCaller(w, r)
+		if w.Code != http.StatusOK {
+			b.Fatalf("status %d", w.Code)
+		}
+	}
+}
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -60,7 +60,8 @@
 	s := d.Settings
 	d.fleet = placement.Fleet{Name: s.Host, Region: s.Region, Domain: s.Domain, Regions: s.Steering.Domains}
 	d.members.roster.Self = daisygap.Pulse{
-		Peer: daisygap.Peer{
+		Name: s.Host,
+		Peer: &daisygap.Peer{
 			Name: s.Host, Domain: s.Domain, Region: s.Region, Caller: s.Caller, Address: s.Peer,
 			Incarnation: strconv.FormatUint(rand.Uint64(), 36),
 		},
--- a/internal/daemon/steer/gossip.go
+++ b/internal/daemon/steer/gossip.go
@@ -29,8 +29,6 @@
 type members struct {
 	mu     sync.Mutex
 	roster roster.Roster
-	// stored holds the addresses of daemons registered in the store that weren't heard of yet.
-	stored map[string]daisygap.Peer
 	// resting holds daemons that failed to relay the store, and until when they aren't asked.
 	resting map[string]daisygap.Millis
 	// behind is since when another daemon knows more of the store; 0 when none does.
@@ -63,14 +61,14 @@
 	var region []daisygap.Peer
 	for _, p := range m.roster.Alive(now) {
 		if p.Peer.Region == self.Region && !p.Leaving && p.Revision > 0 && now >= m.resting[p.Peer.Address] {
-			region = append(region, p.Peer)
+			region = append(region, *p.Peer)
 		}
 	}
-	region = append(region, self)
+	region = append(region, *self)
 	slices.SortFunc(region, func(a, b daisygap.Peer) int { return compareHash(self.Region, a.Name, b.Name) })
 	watchers := region[:min(len(region), relays)]
 	slices.SortFunc(watchers, func(a, b daisygap.Peer) int { return compareHash(self.Name, a.Name, b.Name) })
-	if slices.Contains(watchers, self) {
+	if slices.Contains(watchers, *self) {
 		return ""
 	}
 	return watchers[0].Address
@@ -80,10 +78,7 @@
 func (d *Daemon) notePeer(p daisygap.Peer) {
 	d.members.mu.Lock()
 	defer d.members.mu.Unlock()
-	if d.members.stored == nil {
-		d.members.stored = make(map[string]daisygap.Peer)
-	}
-	d.members.stored[p.Name] = p
+	d.members.roster.Introduce(p)
 }
 
 func encodePeer(p daisygap.Peer) ([]byte, error) {
@@ -147,7 +142,7 @@
 	for _, p := range d.members.roster.Known() {
 		others = append(others, p.Peer.Address)
 	}
-	for _, p := range d.members.stored {
+	for _, p := range d.members.roster.Introduced() {
 		others = append(others, p.Address)
 	}
 	others = append(others, d.Settings.Peers...)
@@ -166,7 +161,7 @@
 	d.members.mu.Lock()
 	names := []string{d.Settings.Host}
 	for _, p := range d.members.roster.Alive(d.Clock.Now()) {
-		names = append(names, p.Peer.Name)
+		names = append(names, p.Name)
 	}
 	d.members.mu.Unlock()
 	d.fleet.SetDaemons(names)
@@ -255,7 +250,7 @@
 func addresses(live []daisygap.Pulse, keep func(daisygap.Peer) bool) []string {
 	var list []string
 	for _, p := range live {
-		if keep(p.Peer) {
+		if keep(*p.Peer) {
 			list = append(list, p.Peer.Caller)
 		}
 	}
--- a/internal/daemon/steer/watch.go
+++ b/internal/daemon/steer/watch.go
@@ -210,7 +210,7 @@
 		d.lease.name = lease
 		d.lease.mu.Unlock()
 	}
-	value, err := encodePeer(d.members.self().Peer)
+	value, err := encodePeer(*d.members.self().Peer)
 	if err != nil {
 		return err
 	}
--- a/internal/policy/roster/roster.go
+++ b/internal/policy/roster/roster.go
@@ -12,7 +12,7 @@
 	// forgetAfter is the silence after which nothing of a daemon is kept.
 	forgetAfter = daisygap.Millis(60_000)
 	// maxSample is the number of heartpulses that one message names.
-	maxSample = 32
+	maxSample = 24
 )
 
 type member struct {
@@ -26,6 +26,21 @@
 	Self daisygap.Pulse
 
 	members map[string]*member
+	// peers holds how to reach daemons that the store names.
+	peers map[string]daisygap.Peer
+}
+
+// Introduce takes in how to reach a daemon, from its entry in the store.
+func (r *Roster) Introduce(p daisygap.Peer) {
+	if r.peers == nil {
+		r.peers = make(map[string]daisygap.Peer)
+	}
+	r.peers[p.Name] = p
+}
+
+// Introduced returns how to reach the daemons that the store names.
+func (r *Roster) Introduced() map[string]daisygap.Peer {
+	return r.peers
 }
 
 // Hear takes heartpulses in and reports whether any daemon appeared or changed its state.
@@ -35,13 +50,16 @@
 	}
 	changed := false
 	for _, b := range pulses {
-		if b.Peer.Name == "" || b.Peer.Name == r.Self.Peer.Name {
+		if b.Name == "" || b.Name == r.Self.Name {
 			continue
 		}
-		m := r.members[b.Peer.Name]
+		m := r.members[b.Name]
+		if b.Peer == nil {
+			b.Peer = r.reach(b.Name)
+		}
 		switch {
 		case m == nil:
-			r.members[b.Peer.Name] = &member{pulse: b, heard: now}
+			r.members[b.Name] = &member{pulse: b, heard: now}
 			changed = true
 		case newer(b, m.pulse):
 			changed = changed || m.pulse.Leaving != b.Leaving || m.pulse.Ready != b.Ready || m.pulse.Start != b.Start || now-m.heard > DeadAfter
@@ -51,6 +69,17 @@
 	return changed
 }
 
+// reach returns how to reach a daemon, or nil while that isn't known.
+func (r *Roster) reach(name string) *daisygap.Peer {
+	if m := r.members[name]; m != nil && m.pulse.Peer != nil {
+		return m.pulse.Peer
+	}
+	if p, ok := r.peers[name]; ok {
+		return &p
+	}
+	return nil
+}
+
 func newer(b, than daisygap.Pulse) bool {
 	if b.Start != than.Start {
 		return b.Start > than.Start
@@ -58,18 +87,18 @@
 	return b.Count > than.Count
 }
 
-// Alive returns the pulses of the other daemons that were heard of lately, by name.
+// Alive returns the pulses of the other daemons that were heard of lately and can be reached, by name.
 func (r *Roster) Alive(now daisygap.Millis) []daisygap.Pulse {
 	var list []daisygap.Pulse
 	for name, m := range r.members {
 		switch silent := now - m.heard; {
 		case silent > forgetAfter:
 			delete(r.members, name)
-		case silent <= DeadAfter:
+		case silent <= DeadAfter && m.pulse.Peer != nil:
 			list = append(list, m.pulse)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Peer.Name < list[j].Peer.Name })
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	return list
 }
 
@@ -77,9 +106,11 @@
 func (r *Roster) Known() []daisygap.Pulse {
 	var list []daisygap.Pulse
 	for _, m := range r.members {
-		list = append(list, m.pulse)
+		if m.pulse.Peer != nil {
+			list = append(list, m.pulse)
+		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Peer.Name < list[j].Peer.Name })
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	return list
 }
 
@@ -94,7 +125,9 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].heard > list[j].heard })
 	pulses := []daisygap.Pulse{r.Self}
 	for _, m := range list[:min(len(list), maxSample)] {
-		pulses = append(pulses, m.pulse)
+		p := m.pulse
+		p.Peer = nil
+		pulses = append(pulses, p)
 	}
 	return pulses
 }
--- a/internal/policy/roster/roster_test.go
+++ b/internal/policy/roster/roster_test.go
@@ -10,13 +10,13 @@
 )
 
 func pulse(name string, start int64, count uint64) daisygap.Pulse {
-	return daisygap.Pulse{Peer: daisygap.Peer{Name: name}, Start: start, Count: count}
+	return daisygap.Pulse{Name: name, Peer: &daisygap.Peer{Name: name}, Start: start, Count: count}
 }
 
 func names(list []daisygap.Pulse) []string {
 	var out []string
 	for _, p := range list {
-		out = append(out, p.Peer.Name)
+		out = append(out, p.Name)
 	}
 	return out
 }
@@ -60,7 +60,26 @@
 		r.Hear([]daisygap.Pulse{pulse(fmt.Sprintf("d%03d", i), 1, 1)}, daisygap.Millis(i))
 	}
 	sample := r.Sample(500)
-	if len(sample) != maxSample+1 || sample[0].Peer.Name != "self" || sample[1].Peer.Name != "d499" {
+	if len(sample) != maxSample+1 || sample[0].Name != "self" || sample[1].Name != "d499" {
 		t.Errorf("%d pulses, first %v", len(sample), names(sample[:2]))
 	}
 }
+
+func TestDaemonIsReachedByItsEntryInTheStore(t *testing.T) {
+	r := &Roster{Self: pulse("self", 1, 1)}
+	p := pulse("a", 1, 1)
+	p.Peer = nil
+	r.Hear([]daisygap.Pulse{p}, 0)
+	if n := len(r.Alive(0)); n != 0 {
+		t.Errorf("%d daemons live that can't be reached", n)
+	}
+	r.Introduce(daisygap.Peer{Name: "a", Address: "10.0.0.1:80"})
+	p.Count = 2
+	r.Hear([]daisygap.Pulse{p}, 100)
+	if list := r.Alive(100); len(list) != 1 || list[0].Peer.Address != "10.0.0.1:80" {
+		t.Errorf("%+v", list)
+	}
+	if sample := r.Sample(100); sample[1].Peer != nil {
+		t.Error("what the store says is told again")
+	}
+}
