--- a/clock.go
+++ b/clock.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -15,26 +14,19 @@
 	return time.Duration(m) * time.Millisecond
 }
 
-// UnmarshalJSON reads a span as a number of milliseconds or as text with its unit, such as "2.5s".
-func (m *Millis) UnmarshalJSON(data []byte) error {
-	if string(data) == "null" {
-		return nil
-	}
-	text, err := strconv.Unquote(string(data))
-	if err != nil {
-		n, err := strconv.ParseInt(string(data), 10, 64)
-		if err != nil {
-			return fmt.Errorf("%s is no number of milliseconds", data)
-		}
-		*m = Millis(n)
-		return nil
+// Span is a span of time as text with its unit, such as "2.5s"; "" is none.
+type Span string
+
+// Millis returns the span in milliseconds, or an error that says what was found.
+func (s Span) Millis() (Millis, error) {
+	if s == "" {
+		return 0, nil
 	}
-	span, err := time.ParseDuration(text)
-	if err != nil {
-		return fmt.Errorf("%s is no time with its unit", data)
+	d, err := time.ParseDuration(string(s))
+	if err != nil || d < 0 {
+		return 0, fmt.Errorf("%q is no time with its unit", string(s))
 	}
-	*m = Millis(span / time.Millisecond)
-	return nil
+	return Millis(d / time.Millisecond), nil
 }
 
 // Clock reads a monotonic clock; the zero value follows the process's own clock.
--- a/internal/adapter/settings/load.go
+++ b/internal/adapter/settings/load.go
@@ -96,8 +96,12 @@
 		return &daisygap.FieldError{Field: "steering.domains", Want: "the region of each domain, also of " + domain, Got: ""}
 	case s.RetryRatio < 0 || s.RetryRatio > 1:
 		return &daisygap.FieldError{Field: "steering.ratio", Want: "a part from 0 to 1", Got: strconv.FormatFloat(s.RetryRatio, 'g', -1, 64)}
-	case s.Grace <= 0:
-		return &daisygap.FieldError{Field: "steering.grace", Want: "a time over 0", Got: strconv.FormatInt(int64(s.Grace), 10)}
+	}
+	if _, err := s.RetryWindow.Millis(); err != nil {
+		return &daisygap.FieldError{Field: "steering.window", Want: "a time with its unit", Got: string(s.RetryWindow)}
+	}
+	if grace, err := s.Grace.Millis(); err != nil || grace == 0 {
+		return &daisygap.FieldError{Field: "steering.grace", Want: "a time with its unit, over 0", Got: string(s.Grace)}
 	}
 	return nil
 }
--- a/internal/adapter/settings/load_test.go
+++ b/internal/adapter/settings/load_test.go
@@ -49,15 +49,15 @@
 	want := &daisygap.SteeringSettings{
 		Ready: "10.1.0.34:8542", Directory: "10.1.0.34:8546", Metrics: "10.1.0.34:7555",
 		Domains:    map[string]string{"north-a": "north", "south-a": "south"},
-		RetryRatio: 0.2, RetrySlack: 62, RetryWindow: 10_000, Grace: 6_000,
+		RetryRatio: 0.2, RetrySlack: 62, RetryWindow: "10s", Grace: "6s",
 	}
 	if diff := cmp.Diff(want, s.Steering); diff != "" {
 		t.Errorf("(-want +got):\n%s", diff)
 	}
 	tests := []struct{ from, to, want string }{
-		{`"10s"`, `"soon"`, `host.json: document: expected valid JSON, found "soon" is no time with its unit`},
+		{`"10s"`, `"soon"`, `host.json: steering.window: expected a time with its unit, found soon`},
 		{`"ratio": 0.2`, `"ratio": 2`, `host.json: steering.ratio: expected a part from 0 to 1, found 2`},
-		{`"grace": "6s"`, `"grace": null`, `host.json: steering.grace: expected a time over 0, found 0`},
+		{`"grace": "6s"`, `"grace": null`, `host.json: steering.grace: expected a time with its unit, over 0`},
 		{`"domain": "north-a"`, `"domain": "west"`, `host.json: steering.domains: expected the region of each domain, also of west`},
 		{`"10.1.0.34:8546"`, `"nowhere"`, `host.json: steering.directory: expected an IP address and port, found "nowhere"`},
 	}
--- a/internal/command/serve/steer.go
+++ b/internal/command/serve/steer.go
@@ -54,7 +54,11 @@
 	faces.Daemon.Run(ctx)
 	faces.Run()
 	go c.reload(ctx, faces.Daemon)
-	return stopSteering(faces, s.Steering.Grace, cancel)
+	grace, err := s.Steering.Grace.Millis()
+	if err != nil {
+		return c.Output.Fail(err)
+	}
+	return stopSteering(faces, grace, cancel)
 }
 
 func jsonLog(s *daisygap.Settings, lines *journal.Writer) daisygap.Log {
--- a/internal/daemon/steer/account.go
+++ b/internal/daemon/steer/account.go
@@ -11,13 +11,7 @@
 	"github.com/daisygap/daisygap/internal/policy/retry"
 )
 
-// eventRate is the number of lines a second for one kind of event; what is over it is counted.
-const eventRate = 20
-
-var (
-	relayed       = metrics.NewCounter(`daisygap_relayed_updates_total`)
-	droppedEvents = metrics.NewCounter(`daisygap_events_over_rate_total`)
-)
+var relayed = metrics.NewCounter(`daisygap_relayed_updates_total`)
 
 // atomicGauge is a gauge's value.
 type atomicGauge struct{ value atomic.Uint64 }
@@ -32,47 +26,6 @@
 	metrics.NewGauge(`daisygap_store_reachable`, storeReachable.get)
 }
 
-// eventLimits bounds the lines a second of each kind of event.
-type eventLimits struct {
-	mu     sync.Mutex
-	counts map[string]eventCount
-}
-
-type eventCount struct {
-	second daisygap.Millis
-	lines  int
-}
-
-// allow reports whether a line of a kind may be written, and how many were left out since the last one.
-func (l *eventLimits) allow(kind string, now daisygap.Millis) (allowed bool, leftOut int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.counts == nil {
-		l.counts = make(map[string]eventCount)
-	}
-	c := l.counts[kind]
-	if second := now / 1_000; c.second != second {
-		leftOut = max(0, c.lines-eventRate)
-		c = eventCount{second: second}
-	}
-	c.lines++
-	l.counts[kind] = c
-	return c.lines <= eventRate, leftOut
-}
-
-// event writes a line unless the rate of its kind is used up; what was left out is said later.
-func (d *Daemon) event(name, kind string, fields func() daisygap.Fields) {
-	allowed, leftOut := d.events.allow(kind, d.Clock.Now())
-	if leftOut > 0 {
-		d.Log.Event("lines left out", daisygap.Fields{"of": name, "kind": kind, "lines": leftOut})
-	}
-	if !allowed {
-		droppedEvents.Inc()
-		return
-	}
-	d.Log.Event(name, fields())
-}
-
 // budgets are this daemon's parts of the retry budgets, by pool.
 type budgets struct {
 	mu      sync.Mutex
--- a/internal/daemon/steer/bench_test.go
+++ b/internal/daemon/steer/bench_test.go
@@ -30,7 +30,7 @@
 
 func controlCost(b *testing.B, count int) {
 	const seconds = 10
-	s := &site.Site{Regions: regions, Routes: routes, Grace: 2_000}
+	s := &site.Site{Regions: regions, Routes: routes}
 	if err := s.Run(); err != nil {
 		b.Fatal(err)
 	}
@@ -89,7 +89,7 @@
 
 // BenchmarkCarry carries requests to a server that answers at once.
 func BenchmarkCarry(b *testing.B) {
-	s := &site.Site{Regions: regions, Routes: routes, Grace: 2_000}
+	s := &site.Site{Regions: regions, Routes: routes}
 	if err := s.Run(); err != nil {
 		b.Fatal(err)
 	}
--- a/internal/daemon/steer/carry.go
+++ b/internal/daemon/steer/carry.go
@@ -90,6 +90,10 @@
 		e.refuse(http.StatusNotFound, daisygap.ReasonUnknownKind, placement.Choice{})
 		return false
 	}
+	if most := e.view.steering.Limits.HeaderBytes; most > 0 && headBytes(e.in) > most {
+		e.refuse(http.StatusRequestHeaderFieldsTooLarge, daisygap.ReasonTooLarge, placement.Choice{})
+		return false
+	}
 	if most := e.view.steering.Limits.BodyBytes; most > 0 && e.in.ContentLength > most {
 		e.refuse(http.StatusRequestEntityTooLarge, daisygap.ReasonTooLarge, placement.Choice{})
 		return false
@@ -104,6 +108,17 @@
 	return true
 }
 
+// headBytes returns about how many bytes the head of a request took.
+func headBytes(r *http.Request) int64 {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return int64(n)
+}
+
 // noConfigurationRetry is when a daemon that has just started is expected to know its configuration.
 const noConfigurationRetry = daisygap.Millis(300)
 
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -15,9 +14,6 @@
 	"github.com/daisygap/daisygap/internal/policy/route"
 )
 
-// ErrStopped is returned by Wait after a graceful stop that had to cut requests off.
-var ErrStopped = errors.New("requests were cut off")
-
 // Daemon is one entry host on the platform; set the fields before Run.
 type Daemon struct {
 	Settings  *daisygap.Settings
@@ -68,7 +64,9 @@
 		Start: int64(d.Clock.Wall()),
 	}
 	d.lease.ended = make(chan struct{}, 1)
-	d.budgets.ratio, d.budgets.slack, d.budgets.window = s.Steering.RetryRatio, s.Steering.RetrySlack, s.Steering.RetryWindow
+	d.budgets.ratio, d.budgets.slack = s.Steering.RetryRatio, s.Steering.RetrySlack
+	// The settings were checked when they were read; without a window there is no slack.
+	d.budgets.window, _ = s.Steering.RetryWindow.Millis()
 	d.nameDaemons()
 	d.Log.Event("start", daisygap.Fields{"host": s.Host, "domain": s.Domain, "region": s.Region, "run": d.members.roster.Self.Peer.Incarnation})
 	for _, part := range []func(){d.runWatch, d.runFollow, d.runRegister, d.runGossip, d.runLapses, d.runTicks} {
--- /dev/null
+++ b/internal/daemon/steer/events.go
@@ -0,0 +1,124 @@
+package steer
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/policy/placement"
+)
+
+// eventRate is the number of lines a second for one kind of event; what is over it is counted.
+const eventRate = 20
+
+var droppedEvents = metrics.NewCounter(`daisygap_events_over_rate_total`)
+
+// eventLimits bounds the lines a second of each kind of event.
+type eventLimits struct {
+	mu     sync.Mutex
+	counts map[string]eventCount
+}
+
+type eventCount struct {
+	second daisygap.Millis
+	lines  int
+}
+
+// allow reports whether a line of a kind may be written, and how many were left out since the last one.
+func (l *eventLimits) allow(kind string, now daisygap.Millis) (allowed bool, leftOut int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.counts == nil {
+		l.counts = make(map[string]eventCount)
+	}
+	c := l.counts[kind]
+	if second := now / 1_000; c.second != second {
+		leftOut = max(0, c.lines-eventRate)
+		c = eventCount{second: second}
+	}
+	c.lines++
+	l.counts[kind] = c
+	return c.lines <= eventRate, leftOut
+}
+
+// event writes a line unless the rate of its kind is used up; what was left out is said later.
+func (d *Daemon) event(name, kind string, fields func() daisygap.Fields) {
+	allowed, leftOut := d.events.allow(kind, d.Clock.Now())
+	if leftOut > 0 {
+		d.Log.Event("lines left out", daisygap.Fields{"of": name, "kind": kind, "lines": leftOut})
+	}
+	if !allowed {
+		droppedEvents.Inc()
+		return
+	}
+	d.Log.Event(name, fields())
+}
+
+// logDelivered writes a line for a sample of the answers, and for each that is late.
+func (e *exchange) logDelivered(a *answer) {
+	took := e.d.Clock.Now() - e.started
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`daisygap_request_seconds{rank="%d",repeat="%t"}`, e.route.Rank, e.route.Repeat)).Update(took.Duration().Seconds())
+	kind := "answer"
+	if took > e.route.Target {
+		kind = "late answer"
+	}
+	if a.res.StatusCode >= http.StatusInternalServerError {
+		kind = "failed answer"
+	}
+	e.d.event(kind, kind, func() daisygap.Fields {
+		f := e.fields(a)
+		f["status"], f["took_ms"] = a.res.StatusCode, took
+		return f
+	})
+}
+
+func (e *exchange) logRefusal(status int, reason daisygap.Reason, run daisygap.RunState, c placement.Choice) {
+	e.d.event("refusal", string(reason), func() daisygap.Fields {
+		f := e.fields(nil)
+		f["status"], f["reason"], f["run"], f["verdict"] = status, reason, run, c.Verdict
+		f["load"], f["wait_ms"], f["retry_ms"], f["took_ms"] = c.Load, int(c.Wait), c.Retry, e.d.Clock.Now()-e.started
+		return f
+	})
+}
+
+// logFailedOffer says which upstream failed the request, and how.
+func (e *exchange) logFailedOffer(a *answer) {
+	e.d.event("offer failed", "offer failed "+string(a.reason), func() daisygap.Fields {
+		f := e.fields(a)
+		f["reason"] = a.reason
+		return f
+	})
+}
+
+func (e *exchange) logRetry(a *answer, reason daisygap.Reason) {
+	e.d.event("retry", "retry "+string(reason), func() daisygap.Fields {
+		f := e.fields(a)
+		f["reason"] = reason
+		return f
+	})
+}
+
+func (e *exchange) logEnd(kind string, a *answer) {
+	e.d.event(kind, kind, func() daisygap.Fields { return e.fields(a) })
+}
+
+// fields are the inputs of a decision about this request.
+func (e *exchange) fields(a *answer) daisygap.Fields {
+	f := daisygap.Fields{"id": e.call.ID, "offers": e.offers, "unreached": e.unreached}
+	if e.view != nil {
+		f["version"], f["revision"] = e.view.steering.Version, e.d.revision()
+	}
+	if e.route != nil {
+		f["route"], f["pool"], f["left_ms"] = e.route.Name, e.pool, e.deadline-e.d.Clock.Now()
+	}
+	if a != nil {
+		f["upstream"], f["verdict"], f["load"], f["offer_ms"] = a.choice.Upstream.ID, a.choice.Verdict, a.choice.Load, a.took
+		if a.err != nil {
+			f["error"] = a.err.Error()
+		}
+	}
+	return f
+}
--- a/internal/daemon/steer/safety_test.go
+++ b/internal/daemon/steer/safety_test.go
@@ -40,6 +40,9 @@
 			t.Errorf("%s: %d, want %d", path, got.status, want)
 		}
 	}
+	if got := w.ask(client, d, http.MethodGet, "/reads/"+strings.Repeat("x", 17<<10), ""); got.status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("a head over the limit: %d", got.status)
+	}
 	if got := w.ask(client, d, http.MethodPost, "/orders/1", strings.Repeat("x", 5<<20)); got.status != http.StatusRequestEntityTooLarge && !got.broken {
 		t.Errorf("a body over the limit: %d", got.status)
 	}
--- a/internal/daemon/steer/site_test.go
+++ b/internal/daemon/steer/site_test.go
@@ -34,7 +34,7 @@
 func start(t *testing.T, daemons ...string) *world {
 	t.Helper()
 	w := &world{
-		Site: &site.Site{Regions: regions, Routes: routes, Grace: 2_000}, t: t,
+		Site: &site.Site{Regions: regions, Routes: routes}, t: t,
 		servers: make(map[string]*instance.Server),
 	}
 	w.must(w.Run())
--- a/internal/daemon/steer/walk_test.go
+++ b/internal/daemon/steer/walk_test.go
@@ -53,7 +53,7 @@
 	out.SetOutput(r)
 	out.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 	w := &world{
-		Site: &site.Site{Regions: regions, Routes: routes, Grace: 2_000, Log: out}, t: t,
+		Site: &site.Site{Regions: regions, Routes: routes, Log: out}, t: t,
 		servers: make(map[string]*instance.Server),
 	}
 	w.must(w.Run())
--- a/internal/policy/poison/crashes.go
+++ b/internal/policy/poison/crashes.go
@@ -39,25 +39,25 @@
 }
 
 // Clear forgets a request that an upstream has answered, unless it is held back.
-func (c *Crashes) Clear(print uint64) {
-	if p := c.prints[print]; p != nil && len(p.instances) < crashLimit {
-		delete(c.prints, print)
+func (c *Crashes) Clear(hash uint64) {
+	if p := c.prints[hash]; p != nil && len(p.instances) < crashLimit {
+		delete(c.prints, hash)
 	}
 }
 
 // Blocked tells whether a request is held back.
-func (c *Crashes) Blocked(print uint64, now daisygap.Millis) bool {
-	p := c.prints[print]
+func (c *Crashes) Blocked(hash uint64, now daisygap.Millis) bool {
+	p := c.prints[hash]
 	return p != nil && len(p.instances) >= crashLimit && now-p.last < crashMemory
 }
 
 // Recent returns the reports that other daemons may lack.
 func (c *Crashes) Recent(now daisygap.Millis) []daisygap.CrashReport {
 	var list []daisygap.CrashReport
-	for print, p := range c.prints {
+	for hash, p := range c.prints {
 		for id, at := range p.instances {
 			if now-at < reportSpan {
-				list = append(list, daisygap.CrashReport{Print: print, Instance: id})
+				list = append(list, daisygap.CrashReport{Print: hash, Instance: id})
 			}
 		}
 	}
@@ -65,9 +65,9 @@
 }
 
 func (c *Crashes) prune(now daisygap.Millis) {
-	for print, p := range c.prints {
+	for hash, p := range c.prints {
 		if now-p.last > crashMemory || len(c.prints) > maxPrints {
-			delete(c.prints, print)
+			delete(c.prints, hash)
 		}
 	}
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -41,9 +41,6 @@
 	Regions map[string]string
 	Routes  []Route
 	Log     *logrus.Logger
-	// Grace is the grace period of a planned stop.
-	Grace daisygap.Millis
-
 	Store   *store.Server
 	Clock   *daisygap.Clock
 	http    *httptest.Server
@@ -161,7 +158,7 @@
 	settings := &daisygap.Settings{
 		Host: name, Domain: domain, Region: s.Regions[domain], Peers: peers, Store: s.http.URL,
 		Steering: &daisygap.SteeringSettings{
-			Domains: s.Regions, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10_000, Grace: s.Grace,
+			Domains: s.Regions, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: "10s", Grace: "6s",
 		},
 	}
 	for _, address := range []*string{&settings.Caller, &settings.Peer, &settings.Steering.Directory, &settings.Steering.Ready} {
--- a/settings.go
+++ b/settings.go
@@ -34,9 +34,9 @@
 	// RetryRatio is the part of the requests that all daemons together may send again, and RetrySlack what they may send again beside it in RetryWindow.
 	RetryRatio  float64 `json:"ratio"`
 	RetrySlack  float64 `json:"slack"`
-	RetryWindow Millis  `json:"window"`
+	RetryWindow Span    `json:"window"`
 	// Grace is the time from SIGTERM to the process's forced end.
-	Grace Millis `json:"grace"`
+	Grace Span `json:"grace"`
 }
 
 // TLS names the files for the peer and operator faces.
