Entries lapse only where the source of an update had trouble with the store

Change: trouble belongs to the source of an update: the own calls for what the store says, the peer's for what a peer hands on; the grace is 1.8 s.

--- a/internal/daemon/steer/control_test.go
+++ b/internal/daemon/steer/control_test.go
@@ -381,3 +381,24 @@
 		}
 	}
 }
+
+// TestLeavingServerIsKnownToDaemonsThatTheStoreTurnsAway removes a server while one daemon has trouble with the store that the others don't have.
+func TestLeavingServerIsKnownToDaemonsThatTheStoreTurnsAway(t *testing.T) {
+	w := start(t, "n-1", "n-2", "s-1")
+	w.await("the daemons to hear of each other", func() bool { return len(w.resolve(w.daemons[2], "north", "n-1")) == 2 })
+	w.Store.Cut("host-2", true)
+	time.Sleep(contactWindow)
+	leaving := w.servers["s-1-stock"]
+	removed := time.Now()
+	w.must(w.Put("servers/"+leaving.ID, nil))
+	client := newClient(t)
+	for i := 0; time.Since(removed) < drainWithin+time.Second; i++ {
+		w.ask(client, w.daemons[2], http.MethodGet, fmt.Sprintf("/reads/%d", i%40), "")
+	}
+	for _, r := range leaving.Runs() {
+		if after := r.At.Sub(removed); after > drainWithin {
+			t.Errorf("a request reached it %v after its entry was removed", after)
+			break
+		}
+	}
+}
--- a/internal/daemon/steer/copy.go
+++ b/internal/daemon/steer/copy.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// lapseGrace is how long an upstream's entry that lapsed with the store's outage still counts: living ones are back within two seconds.
-	lapseGrace = daisygap.Millis(2_000)
+	// lapseGrace is how long an upstream's entry that lapsed with the store's outage still counts: living ones are back within two seconds
+	// of its return, which is noticed some tenths of a second late.
+	lapseGrace = daisygap.Millis(1_800)
 	// lapseNear is how long after trouble with the store a deletion may be a lapse.
 	lapseNear = daisygap.Millis(4_000)
 	// lapseMany is the number of entries that end together when an outage went unnoticed here, and doubtGrace how long they count then;
@@ -39,19 +40,29 @@
 	newest map[string]daisygap.Instance
 	// lapsed holds entries that ended with the store's outage, and until when they count.
 	lapsed map[string]daisygap.Millis
-	// trouble is when the store last failed, here or at the daemon that relays it.
-	trouble daisygap.Millis
+	// storeTrouble is when the store last failed here, and trouble the same where the last update came from: only there may entries have
+	// lapsed with the store.
+	storeTrouble daisygap.Millis
+	trouble      daisygap.Millis
 	// grown is closed when the revision grows.
 	grown chan struct{}
 }
 
+// fromStore names the store as the source of an update; others are daemons' addresses.
+const fromStore = "store"
+
 // apply takes an update of the copy in and puts what it says in force.
 func (d *Daemon) apply(u daisygap.Update, from string) int {
 	d.copy.mu.Lock()
 	defer d.copy.mu.Unlock()
 	now := d.Clock.Now()
-	if u.Trouble > 0 {
-		d.copy.trouble = max(d.copy.trouble, now-u.Trouble)
+	switch {
+	case from == fromStore:
+		d.copy.trouble = d.copy.storeTrouble
+	case u.Trouble > 0:
+		d.copy.trouble = now - u.Trouble
+	default:
+		d.copy.trouble = 0
 	}
 	before := d.copy.mirror.Revision()
 	changed := d.copy.mirror.Apply(u)
--- a/internal/daemon/steer/watch.go
+++ b/internal/daemon/steer/watch.go
@@ -76,7 +76,7 @@
 		after = b.Entries[len(b.Entries)-1].Key
 	}
 	u.Full = true
-	d.apply(u, "store")
+	d.apply(u, fromStore)
 	return nil
 }
 
@@ -87,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	if d.apply(daisygap.Update{Entries: b.Entries, Revision: b.Revision}, "store") > 0 {
+	if d.apply(daisygap.Update{Entries: b.Entries, Revision: b.Revision}, fromStore) > 0 {
 		d.pause(gatherSpan)
 	}
 	return nil
@@ -110,7 +110,7 @@
 	d.lease.mu.Unlock()
 	if !reached {
 		d.copy.mu.Lock()
-		d.copy.trouble = d.Clock.Now()
+		d.copy.storeTrouble = d.Clock.Now()
 		d.copy.mu.Unlock()
 	}
 	switch {
