Daemons that restart at an earlier time of day are heard again

Cause: heartbeats are ordered by the start's time of day. A daemon that restarted after its clock went back was taken for its own earlier process and counted as dead for up to 60 s, so that look-ups left it out. Change: a daemon that hears a later start of its own name takes a later one still, and a heartbeat of another process counts once the known one has been silent for 3 s. Before: TestRestartAfterTheClockWentBack fails (not among the living), both for a restart at once and after 6 s. After: passes.

--- a/internal/policy/roster/roster.go
+++ b/internal/policy/roster/roster.go
@@ -50,6 +50,10 @@
 	}
 	changed := false
 	for _, b := range pulses {
+		if b.Name == r.Self.Name && newer(b, r.Self) {
+			// An earlier process of this daemon started at a later time of day; the others believe the later start.
+			r.Self.Start = b.Start + 1
+		}
 		if b.Name == "" || b.Name == r.Self.Name {
 			continue
 		}
@@ -61,7 +65,7 @@
 		case m == nil:
 			r.members[b.Name] = &member{pulse: b, heard: now}
 			changed = true
-		case newer(b, m.pulse):
+		case newer(b, m.pulse), b.Start != m.pulse.Start && now-m.heard > DeadAfter:
 			changed = changed || m.pulse.Leaving != b.Leaving || m.pulse.Ready != b.Ready || m.pulse.Start != b.Start || now-m.heard > DeadAfter
 			m.pulse, m.heard = b, now
 		}
--- a/internal/policy/roster/roster_test.go
+++ b/internal/policy/roster/roster_test.go
@@ -83,3 +83,22 @@
 		t.Error("what the store says is told again")
 	}
 }
+
+// TestRestartAfterTheClockWentBack has a process start at an earlier time of day than the one before it, soon or long after its end.
+func TestRestartAfterTheClockWentBack(t *testing.T) {
+	for _, from := range []daisygap.Millis{0, 2 * DeadAfter} {
+		other := &Roster{Self: pulse("other", 1, 1)}
+		other.Hear([]daisygap.Pulse{pulse("self", 5_000, 40)}, 0)
+		restarted := &Roster{Self: pulse("self", 3_000, 1)}
+		end := from + 2*DeadAfter
+		for now := from; now <= end; now += 500 {
+			restarted.Self.Count++
+			other.Self.Count++
+			other.Hear(restarted.Sample(now), now)
+			restarted.Hear(other.Sample(now), now)
+		}
+		if diff := cmp.Diff([]string{"self"}, names(other.Alive(end))); diff != "" {
+			t.Errorf("from %d ms (-want +got):\n%s", from, diff)
+		}
+	}
+}
