daisygap soak: real daemons as processes, faults from outside, promises checked while it runs

Cause: the soak in one process can't kill, pause or signal a daemon, and covers only the daemon of domain leases. Change: a command that starts daemons of its own program between the stand-ins, harms links by loopback proxies (delay, reset, silence, one way), processes by signals, and the store, servers and configuration by their stand-ins, all by a seed. A ledger checks each arrival at a server and each answer to a caller: whole answers, at most once, true refusals, drains, evacuations, cold rates, homes, routes, no return to an older configuration, retry budgets, timeouts, work after the caller left, planned stops, recovery. A daemon may be advertised at another peer address than it listens on.

--- a/internal/adapter/settings/load.go
+++ b/internal/adapter/settings/load.go
@@ -97,6 +97,11 @@
 	case s.RetryRatio < 0 || s.RetryRatio > 1:
 		return &daisygap.FieldError{Field: "steering.ratio", Want: "a part from 0 to 1", Got: strconv.FormatFloat(s.RetryRatio, 'g', -1, 64)}
 	}
+	if s.Advertise != "" {
+		if err := checkAddress("steering.advertise", s.Advertise); err != nil {
+			return err
+		}
+	}
 	if _, err := s.RetryWindow.Millis(); err != nil {
 		return &daisygap.FieldError{Field: "steering.window", Want: "a time with its unit", Got: string(s.RetryWindow)}
 	}
--- a/internal/command/run/main.go
+++ b/internal/command/run/main.go
@@ -12,6 +12,7 @@
 	"github.com/daisygap/daisygap/internal/command/load"
 	"github.com/daisygap/daisygap/internal/command/operate"
 	"github.com/daisygap/daisygap/internal/command/serve"
+	"github.com/daisygap/daisygap/internal/command/soak"
 	"github.com/daisygap/daisygap/internal/command/term"
 )
 
@@ -30,6 +31,7 @@
 	commander.Register(commander.CommandsCommand(), "")
 	commander.Register(&serve.Command{Output: o}, "daemon")
 	commander.Register(&demo.Command{Output: o}, "daemon")
+	commander.Register(&soak.Command{Output: o}, "daemon")
 	commander.Register(&load.Command{Output: o}, "daemon")
 	commander.Register(&check.Command{Output: o}, "operators")
 	commander.Register(operate.NewConfig(o), "operators")
--- /dev/null
+++ b/internal/command/soak/soak.go
@@ -0,0 +1,119 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/daisygap/daisygap/internal/command/term"
+	"github.com/daisygap/daisygap/internal/soak/fault"
+)
+
+// The largest run: a few hundred processes fit in half of a common machine's memory.
+const (
+	maxDaemons = 200
+	maxCallers = 2_000
+	maxSpan    = 10 * time.Minute
+)
+
+// Command is daisygap soak.
+type Command struct {
+	Output term.Output
+
+	seed    uint64
+	span    time.Duration
+	daemons int
+	callers int
+	folder  string
+	json    bool
+	quiet   bool
+}
+
+// Name returns the command's name.
+func (*Command) Name() string { return "soak" }
+
+// Synopsis returns one line of help.
+func (*Command) Synopsis() string {
+	return "run daemons as processes under random faults, and check what must always hold"
+}
+
+// Usage returns the help text.
+func (*Command) Usage() string {
+	return `soak --seed N [--for 20s] [--daemons 8] [--callers 24] [--folder DIR] [--quiet] [--json]
+
+Faults follow from the seed. After the last one comes a calm time, in which requests must be served again. The daemons'
+logs stay in the folder; without one they are kept only if a promise was broken.
+`
+}
+
+// SetFlags defines the command's flags.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.Uint64Var(&c.seed, "seed", 1, "what the faults follow from")
+	f.DurationVar(&c.span, "for", 20*time.Second, "how long faults come")
+	f.IntVar(&c.daemons, "daemons", 8, "the number of daemons")
+	f.IntVar(&c.callers, "callers", 24, "the number of callers")
+	f.StringVar(&c.folder, "folder", "", "where settings and logs go")
+	f.BoolVar(&c.quiet, "quiet", false, "don't tell each fault")
+	f.BoolVar(&c.json, "json", false, "print a JSON document")
+}
+
+// Execute runs the soak; it fails when a promise was broken.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.daemons < 1 || c.daemons > maxDaemons || c.callers < 1 || c.callers > maxCallers || c.span <= 0 || c.span > maxSpan {
+		c.Output.Printf("soak: at most %d daemons, %d callers and %v", maxDaemons, maxCallers, maxSpan)
+		return subcommands.ExitUsageError
+	}
+	binary, err := os.Executable()
+	if err != nil {
+		return c.Output.Fail(err)
+	}
+	folder, kept := c.folder, c.folder != ""
+	if !kept {
+		if folder, err = os.MkdirTemp("", "daisygap-soak-"); err != nil {
+			return c.Output.Fail(err)
+		}
+	}
+	run := &fault.Run{
+		Binary: binary, Folder: filepath.Join(folder, strconv.FormatUint(c.seed, 10)), Seed: c.seed,
+		Daemons: c.daemons, Callers: c.callers, Span: c.span, Log: c.progress,
+	}
+	report, err := run.Play(ctx)
+	if err != nil {
+		return c.Output.Fail(err)
+	}
+	if !kept && len(report.Broken) == 0 {
+		if err := os.RemoveAll(folder); err != nil {
+			return c.Output.Fail(err)
+		}
+	}
+	return c.tell(report, run.Folder)
+}
+
+func (c *Command) progress(format string, args ...any) {
+	if !c.quiet && !c.json {
+		c.Output.Printf(format, args...)
+	}
+}
+
+func (c *Command) tell(r fault.Report, folder string) subcommands.ExitStatus {
+	status := subcommands.ExitSuccess
+	if len(r.Broken) > 0 {
+		status = term.ExitFailed
+	}
+	return c.Output.Report(c.json, r, status, func() {
+		for _, b := range r.Broken {
+			c.Output.Printf("broken: %s", b)
+		}
+		if len(r.Broken) > 0 {
+			c.Output.Printf("logs: %s", folder)
+		}
+		n := r.Count
+		c.Output.Printf("seed %d: %d asked, %d served, %d refused, %d failed, %d cut, %d left; %d broken",
+			r.Seed, n.Asked, n.Served, n.Refused, n.Failed, n.Cut, n.Left, len(r.Broken))
+	})
+}
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -54,11 +54,15 @@
 func (d *Daemon) Run(ctx context.Context) {
 	d.ctx = ctx
 	s := d.Settings
+	address := s.Peer
+	if s.Steering.Advertise != "" {
+		address = s.Steering.Advertise
+	}
 	d.fleet = placement.Fleet{Name: s.Host, Region: s.Region, Domain: s.Domain, Regions: s.Steering.Domains}
 	d.members.roster.Self = daisygap.Pulse{
 		Name: s.Host,
 		Peer: &daisygap.Peer{
-			Name: s.Host, Domain: s.Domain, Region: s.Region, Caller: s.Caller, Address: s.Peer,
+			Name: s.Host, Domain: s.Domain, Region: s.Region, Caller: s.Caller, Address: address,
 			Incarnation: strconv.FormatUint(rand.Uint64(), 36),
 		},
 		Start: int64(d.Clock.Wall()),
--- /dev/null
+++ b/internal/soak/process/doc.go
@@ -0,0 +1,2 @@
+// Package process runs daemons as processes of their own, and signals only those that it started.
+package process
--- a/internal/standin/instance/server.go
+++ b/internal/standin/instance/server.go
@@ -51,6 +51,14 @@
 // extraDelay is the time before a late extra answer.
 const extraDelay = 30 * time.Millisecond
 
+// Arrival is one request that reached a server; Executed tells that the server began to work on it.
+type Arrival struct {
+	ID       string
+	Path     string
+	Body     string
+	Executed bool
+}
+
 // Run is one request that a server began to work on.
 type Run struct {
 	ID   string
@@ -64,11 +72,18 @@
 
 // Server is one process of a server; set the exported fields before Run.
 type Server struct {
-	ID      string
-	Pool    string
-	Domain  string
-	Slots   int
+	ID     string
+	Pool   string
+	Domain string
+	Slots  int
+	// Service is the time that a request takes, unless its query says otherwise in "ms".
 	Service daisygap.Millis
+	// Public is the address that its entry names, if that isn't its own.
+	Public string
+	// Cold is how long it is slow after its start.
+	Cold daisygap.Millis
+	// Observe is told of every arrival, if it is set.
+	Observe func(Arrival)
 
 	mu       sync.Mutex
 	fault    Fault
@@ -97,6 +112,11 @@
 	return nil
 }
 
+// Address returns where the server listens.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
 // Close ends the process at once.
 func (s *Server) Close() {
 	_ = s.http.Close()
@@ -136,9 +156,13 @@
 	if s.draining {
 		state = "draining"
 	}
+	address := s.Public
+	if address == "" {
+		address = s.Address()
+	}
 	data, err := json.Marshal(map[string]any{
-		"service": s.Pool, "address": s.listener.Addr().String(), "zone": s.Domain, "version": "v1",
-		"slots": s.Slots, "state": state, "cold_remaining": "0ms", "sequence": s.sequence, "born": s.born,
+		"service": s.Pool, "address": address, "zone": s.Domain, "version": "v1", "slots": s.Slots, "state": state,
+		"cold_remaining": fmt.Sprintf("%dms", s.coldLeft()), "sequence": s.sequence, "born": s.born,
 	})
 	if err != nil {
 		panic(err)
@@ -146,6 +170,11 @@
 	return data
 }
 
+// coldLeft returns how much longer the server is slow.
+func (s *Server) coldLeft() daisygap.Millis {
+	return max(0, s.Cold-daisygap.Millis(time.Now().UnixMilli()-s.born))
+}
+
 // ServeHTTP runs one request, or fails it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if want := r.Header.Get("Expected-Instance"); want != "" && want != s.ID {
@@ -158,6 +187,9 @@
 		return
 	}
 	run, fault := s.begin(r, string(body))
+	if s.Observe != nil {
+		s.Observe(Arrival{ID: r.Header.Get("Request-Id"), Path: r.URL.RequestURI(), Body: string(body), Executed: run != nil})
+	}
 	if run == nil {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -165,7 +197,7 @@
 	}
 	defer s.end()
 	select {
-	case <-time.After(s.Service.Duration()):
+	case <-time.After(s.serviceOf(r).Duration()):
 	case <-r.Context().Done():
 		s.mu.Lock()
 		run.Ended = time.Now()
@@ -175,6 +207,13 @@
 	s.answer(w, r, run, fault)
 }
 
+func (s *Server) serviceOf(r *http.Request) daisygap.Millis {
+	if ms, err := strconv.Atoi(r.URL.Query().Get("ms")); err == nil {
+		return daisygap.Millis(ms)
+	}
+	return s.Service
+}
+
 func (s *Server) begin(r *http.Request, body string) (*Run, Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -76,6 +76,11 @@
 	s.http.Close()
 }
 
+// URL returns where the store is called.
+func (s *Site) URL() string {
+	return s.http.URL
+}
+
 // Configure writes a new version of the configuration with these routes.
 func (s *Site) Configure(routes []Route) error {
 	s.version += 3
--- a/settings.go
+++ b/settings.go
@@ -29,6 +29,8 @@
 	Ready     string `json:"ready"`
 	Directory string `json:"directory"`
 	Metrics   string `json:"metrics"`
+	// Advertise is the address by which other daemons reach Peer; empty where that is the same.
+	Advertise string `json:"advertise,omitempty"`
 	// Domains names the region of each failure domain.
 	Domains map[string]string `json:"domains"`
 	// RetryRatio is the part of the requests that all daemons together may send again, and RetrySlack what they may send again beside it in RetryWindow.
