Large answers leave a busy region within seconds

Change: the share of large answers falls by 0.1; it rises as before, and the limit of moved requests holds for both.

--- a/internal/policy/placement/stay.go
+++ b/internal/policy/placement/stay.go
@@ -7,6 +7,8 @@
 	TickSpan = daisygap.Millis(500)
 	// stayStep is the change of the share in one tick; four ticks stay under the part that may move in two seconds.
 	stayStep = 0.02
+	// bulkStep is the same for large answers that leave a busy region; they are few, and the limit of moved requests holds for them too.
+	bulkStep = 0.1
 	// busy and idle are the parts of the own region's slots between which the share rests.
 	busy = 0.8
 	idle = 0.4
@@ -35,7 +37,7 @@
 	near, away := own/ownSlots, far/farSlots
 	switch {
 	case near > busy && away < near:
-		p.stay, p.bulkStay = max(0, p.stay-stayStep), max(0, p.bulkStay-stayStep)
+		p.stay, p.bulkStay = max(0, p.stay-stayStep), max(0, p.bulkStay-bulkStep)
 	case near < idle || away > near:
 		p.stay, p.bulkStay = min(1, p.stay+stayStep), min(1, p.bulkStay+stayStep)
 	}
--- a/internal/soak/fault/world.go
+++ b/internal/soak/fault/world.go
@@ -140,7 +140,7 @@
 		},
 	}
 	for _, address := range []*string{&s.Caller, &s.Peer, &s.Steering.Directory, &s.Steering.Ready, &s.Steering.Metrics} {
-		free, err := port.Free()
+		free, err := port.FreeAt(port.Own())
 		if err != nil {
 			return err
 		}
--- a/internal/standin/port/port.go
+++ b/internal/standin/port/port.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"sync"
 )
 
@@ -21,6 +22,17 @@
 
 // Free returns a loopback address that nothing listens on, each only once a process; the error is that of the last try.
 func Free() (string, error) {
+	return FreeAt("127.0.0.1")
+}
+
+// Own returns a loopback IP address that no other process of this machine takes, so that its ports stay free while their owner is down.
+func Own() string {
+	id := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+id>>16&0x7f, id>>8&0xff, id&0xff)
+}
+
+// FreeAt is Free for another loopback IP address.
+func FreeAt(ip string) (string, error) {
 	mu.Lock()
 	defer mu.Unlock()
 	var err error
@@ -30,7 +42,7 @@
 		if given[n] {
 			continue
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", n)
+		address := fmt.Sprintf("%s:%d", ip, n)
 		var l net.Listener
 		if l, err = net.Listen("tcp", address); err == nil {
 			given[n] = true
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -132,6 +133,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	if f.Silent {
+		// The end of a connection is only noticed once the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return false
 	}
