Daemons tell each other the loads of upstreams; full regions keep objects where they are held

Cause: 88 daemons with 25 requests a second each meet one of 390 upstreams every ten seconds, so that a daemon guesses its load from a report that is ten seconds old. Change: (1) gossip carries the newest loads, up to 48 a message, of upstreams that are half full or were so; (2) work goes to upstreams without its object at hand only in regions under 0.6 of their slots; (3) a queue for late work ends where those that come next would be late as well.

--- a/gossip.go
+++ b/gossip.go
@@ -23,10 +23,20 @@
 	Instance string `json:"i"`
 }
 
+// LoadSighting is an upstream's load as some daemon saw it.
+type LoadSighting struct {
+	// Upstream is a part of the hash of its name.
+	Upstream uint32 `json:"u"`
+	// Load counts its requests, waiting ones included, and Age is the time since then.
+	Load int    `json:"l"`
+	Age  Millis `json:"a"`
+}
+
 // Gossip is what two daemons tell each other in one exchange.
 type Gossip struct {
-	Pulses  []Pulse       `json:"b"`
-	Crashes []CrashReport `json:"x,omitempty"`
+	Pulses  []Pulse        `json:"b"`
+	Crashes []CrashReport  `json:"x,omitempty"`
+	Loads   []LoadSighting `json:"l,omitempty"`
 }
 
 // Update is what one daemon hands to another of the store's entries: the changes after a revision, or a full copy.
--- a/internal/daemon/steer/gossip.go
+++ b/internal/daemon/steer/gossip.go
@@ -68,7 +68,7 @@
 	self := &d.members.roster.Self
 	self.Count++
 	self.Ready, self.Leaving, self.Revision = d.Ready(), d.stopping.Load(), revision
-	return daisygap.Gossip{Pulses: d.members.roster.Sample(now), Crashes: d.crashes.recent(now)}
+	return daisygap.Gossip{Pulses: d.members.roster.Sample(now), Crashes: d.crashes.recent(now), Loads: d.fleet.Sightings(now)}
 }
 
 func (d *Daemon) hear(g daisygap.Gossip) {
@@ -77,6 +77,7 @@
 	changed := d.members.roster.Hear(g.Pulses, now)
 	d.members.mu.Unlock()
 	d.crashes.take(g.Crashes, now)
+	d.fleet.Hear(g.Loads, now)
 	if changed {
 		d.nameDaemons()
 	}
--- a/internal/policy/placement/fleet.go
+++ b/internal/policy/placement/fleet.go
@@ -26,7 +26,10 @@
 	upstreams map[string]*Upstream
 	pools     atomic.Pointer[map[string]*Pool]
 	daemons   atomic.Pointer[[]string]
-	drift     drift
+	// byMark finds upstreams by their names in messages.
+	byMark atomic.Pointer[map[uint32]*Upstream]
+	seen   sightings
+	drift  drift
 }
 
 // Pool returns a pool by name, or nil.
@@ -66,12 +69,17 @@
 			lists[i.Pool] = append(lists[i.Pool], u)
 		}
 	}
+	marks := make(map[uint32]*Upstream, len(f.upstreams))
+	for _, u := range f.upstreams {
+		marks[u.mark()] = u
+	}
+	f.byMark.Store(&marks)
 	old := f.Pools()
 	pools := make(map[string]*Pool, len(limits))
 	for name, l := range limits {
 		p := old[name]
 		if p == nil {
-			p = &Pool{Region: f.Region, Domain: f.Domain, shareOf: f.coldShare, drift: &f.drift}
+			p = &Pool{Region: f.Region, Domain: f.Domain, shareOf: f.coldShare, drift: &f.drift, seen: &f.seen}
 		}
 		list := lists[name]
 		sort.Slice(list, func(a, b int) bool { return list[a].ID < list[b].ID })
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -374,6 +374,32 @@
 	}
 }
 
+// TestBulkLeavesABusyRegionSoon has a region with far too few slots for its large answers.
+func TestBulkLeavesABusyRegionSoon(t *testing.T) {
+	const patience = 5_000
+	f := newFleet("a", "n-1")
+	f.Replace(limits, append(instances("n-2", 1, 6), instances("s-1", 8, 6)...), nil, 0)
+	r := reads()
+	r.Bulk = true
+	p := f.Pool("p")
+	var held []Choice
+	for now := daisygap.Millis(0); now < patience; now += TickSpan {
+		for p.upstreams[0].load(now) < 6 {
+			held = append(held, p.Choose(query(r, uint64(len(held))), now))
+		}
+		p.Tick(now)
+	}
+	home := 0
+	for object := range uint64(100) {
+		if p.homeOf(query(r, object), p.upstreams) == "north" {
+			home++
+		}
+	}
+	if fair := 100 * 6 / 54; home > 2*fair {
+		t.Errorf("%d of 100 objects stay in a region with %d of 100 slots that was busy for %d ms", home, fair, patience)
+	}
+}
+
 // TestBurstMovesNoRegionsShare has other daemons fill the upstreams of the own region at once, also wholly, and bounds how the served requests move.
 func TestBurstMovesNoRegionsShare(t *testing.T) {
 	for _, waiting := range []int{40, 60, 80} {
@@ -443,3 +469,54 @@
 		}
 	}
 }
+
+// TestLoadsAreHeardFromOtherDaemons has one daemon see that an upstream is full, and another that never met it hear of that.
+func TestLoadsAreHeardFromOtherDaemons(t *testing.T) {
+	a, b := newFleet("a", "n-1"), newFleet("b", "n-2")
+	list := instances("n-1", 1, 6)
+	for _, f := range []*Fleet{a, b} {
+		f.Replace(limits, list, nil, 0)
+	}
+	c := a.Pool("p").Choose(query(reads(), 1), 1_000)
+	a.Pool("p").Done(c, "r", Outcome{Result: Answered, Took: 100, Load: &daisygap.LoadReport{Running: 6, Waiting: 18, Slots: 6}}, 1_100)
+	told := a.Sightings(1_200)
+	if diff := cmp.Diff([]daisygap.LoadSighting{{Upstream: c.Upstream.mark(), Load: 24, Age: 100}}, told); diff != "" {
+		t.Fatalf("(-want +got):\n%s", diff)
+	}
+	b.Hear(append(told, daisygap.LoadSighting{Upstream: 1, Load: 3}), 50_000)
+	if got := b.Pool("p").Choose(query(reads(), 1), 50_000); got.Verdict != Full || got.Load != 24 {
+		t.Errorf("verdict %s, load %v", got.Verdict, got.Load)
+	}
+	if diff := cmp.Diff([]daisygap.LoadSighting{{Upstream: c.Upstream.mark(), Load: 24, Age: 150}}, b.Sightings(50_050)); diff != "" {
+		t.Errorf("handed on (-want +got):\n%s", diff)
+	}
+	b.Hear([]daisygap.LoadSighting{{Upstream: c.Upstream.mark(), Load: 0, Age: 1_000}}, 50_050)
+	if got := b.Pool("p").Choose(query(reads(), 1), 50_060); got.Verdict != Full {
+		t.Errorf("an older load counted: %s", got.Verdict)
+	}
+	if got := b.Sightings(60_000); got != nil {
+		t.Errorf("old loads are told: %v", got)
+	}
+}
+
+// TestLowLoadsAreToldOnlyAfterHighOnes keeps messages short while there is little work.
+func TestLowLoadsAreToldOnlyAfterHighOnes(t *testing.T) {
+	f := newFleet("a", "n-1")
+	f.Replace(limits, instances("n-1", 1, 6), nil, 0)
+	p := f.Pool("p")
+	for i, tt := range []struct {
+		running int
+		want    []int
+	}{{2, nil}, {3, []int{3}}, {1, []int{1}}, {2, nil}} {
+		now := daisygap.Millis(i+1) * 2 * sightingAge
+		c := p.Choose(query(reads(), 1), now)
+		p.Done(c, "r", Outcome{Result: Answered, Took: 100, Load: &daisygap.LoadReport{Running: tt.running, Slots: 6}}, now)
+		var got []int
+		for _, s := range f.Sightings(now) {
+			got = append(got, s.Load)
+		}
+		if diff := cmp.Diff(tt.want, got); diff != "" {
+			t.Errorf("report %d (-want +got):\n%s", i, diff)
+		}
+	}
+}
--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -84,11 +84,15 @@
 	shareOf func(id string, rate float64) float64
 	// drift counts the regions of this daemon's requests over all pools.
 	drift *drift
+	// seen takes the loads that answers tell, for other daemons.
+	seen *sightings
 	// stay is the part of the objects that the own region serves for its callers, and bulkStay the same for large answers.
 	stay     float64
 	bulkStay float64
-	started  bool
-	spill    float64
+	// use is the part of each region's slots in use, as of the last tick.
+	use     map[string]float64
+	started bool
+	spill   float64
 	// troubled is until when requests may leave their region without limit.
 	troubled daisygap.Millis
 	trips    map[string]float64
@@ -218,6 +222,7 @@
 	u := c.Upstream
 	if o.Load != nil {
 		u.report(o.Load, now)
+		p.tell(u, o.Load.Running+o.Load.Waiting, now)
 	}
 	u.inFlight--
 	if o.Trip > 0 {
--- a/internal/policy/placement/search.go
+++ b/internal/policy/placement/search.go
@@ -123,7 +123,7 @@
 	}
 	var best *Upstream
 	for _, u := range s.owners {
-		if u.Region != s.home && s.fits(u, s.service) && s.mayRun(u.Region) && (best == nil || u.wait(s.now, s.service) < best.wait(s.now, s.service)) {
+		if u.Region != s.home && s.roomy(u.Region) && s.fits(u, s.service) && s.mayRun(u.Region) && (best == nil || u.wait(s.now, s.service) < best.wait(s.now, s.service)) {
 			best = u
 		}
 	}
@@ -139,12 +139,20 @@
 	return s.now < s.p.troubled || len(s.q.Tried) > 0 || s.p.drift.allows(region, s.now)
 }
 
+// roomy tells whether a region has room for work without its objects at hand, which takes several times as long.
+func (s *search) roomy(region string) bool {
+	return s.p.use[region] < roomyUse
+}
+
 func (s *search) maySpill() bool {
 	return s.p.spill >= 1 || s.now < s.p.troubled || len(s.q.Tried) > 0
 }
 
 // second takes an idle upstream of the home region that doesn't hold the object, if that is still on time.
 func (s *search) second() (Choice, bool) {
+	if !s.roomy(s.home) {
+		return Choice{}, false
+	}
 	var best *Upstream
 	for _, u := range s.able {
 		if u.Region != s.home || 2*u.load(s.now) > float64(u.Slots) || !s.fits(u, s.coldly) {
@@ -163,6 +171,8 @@
 // late takes the owner with the shortest queue, or the nearest for large answers, when nothing can be on time.
 func (s *search) late() (Choice, bool) {
 	most := lateShare[min(max(s.q.Route.Rank, 0), len(lateShare)-1)]
+	// A longer queue would make those that come next late as well.
+	punctual := onTimeShare * (float64(s.q.Route.Target) - s.service)
 	var best *Upstream
 	for _, u := range s.owners {
 		if u.Region != s.home && !s.maySpill() {
@@ -170,8 +180,12 @@
 		}
 		wait := u.wait(s.now, s.service)
 		held := max(u.service, s.service)
+		queue := held
+		if punctual > 0 {
+			queue = min(held, punctual)
+		}
 		deep := u.Region == s.home && s.p.drift.lacks(u.Region, s.now)
-		if !s.mayRun(u.Region) || wait > most*held && !deep || wait+s.p.trip(u)+held > float64(s.q.Left) {
+		if !s.mayRun(u.Region) || wait > most*queue && !deep || wait+s.p.trip(u)+held > float64(s.q.Left) {
 			continue
 		}
 		if best == nil || !s.q.Route.Bulk && wait < best.wait(s.now, s.service) {
--- a/internal/policy/placement/stay.go
+++ b/internal/policy/placement/stay.go
@@ -12,23 +12,31 @@
 	// busy and idle are the parts of the own region's slots between which the share rests.
 	busy = 0.8
 	idle = 0.4
+	// roomyUse is the part of a region's slots in use from which on objects stay with the upstreams that hold them.
+	roomyUse = 0.6
 )
 
 // Tick adjusts the part of the objects that the own region serves by the load of its upstreams and the others'.
 func (p *Pool) Tick(now daisygap.Millis) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	load, slots := make(map[string]float64), make(map[string]float64)
 	var own, ownSlots, far, farSlots float64
 	for _, u := range p.upstreams {
 		if u.isDown(now) || u.isCold(now) {
 			continue
 		}
-		if u.Region == p.Region {
-			own += u.load(now)
-			ownSlots += float64(u.Slots)
+		load[u.Region] += u.load(now)
+		slots[u.Region] += float64(u.Slots)
+	}
+	p.use = make(map[string]float64, len(slots))
+	for region, n := range slots {
+		p.use[region] = load[region] / n
+		if region == p.Region {
+			own, ownSlots = load[region], n
 		} else {
-			far += u.load(now)
-			farSlots += float64(u.Slots)
+			far += load[region]
+			farSlots += n
 		}
 	}
 	if ownSlots == 0 || farSlots == 0 {
--- a/internal/policy/placement/upstream.go
+++ b/internal/policy/placement/upstream.go
@@ -36,6 +36,8 @@
 	// others estimates the requests of other daemons, as of reported.
 	others   float64
 	reported daisygap.Millis
+	// told is set while other daemons are told of a high load.
+	told bool
 	// service is the mean time in ms that a request holds a slot; 0 before the first answer.
 	service float64
 	// failures is the running share of failed answers.
@@ -87,13 +89,23 @@
 
 // report takes an upstream's own count in; it still includes the answered request.
 func (u *Upstream) report(l *daisygap.LoadReport, now daisygap.Millis) {
-	seen := max(0, float64(l.Running+l.Waiting-u.inFlight))
-	if now-u.reported > reportStale {
+	u.take(l.Running+l.Waiting, now)
+}
+
+// take follows a load that was seen at a time.
+func (u *Upstream) take(load int, at daisygap.Millis) {
+	seen := max(0, float64(load-u.inFlight))
+	if at-u.reported > reportStale {
 		u.others = seen
 	} else {
 		u.others += loadGain * (seen - u.others)
 	}
-	u.reported = now
+	u.reported = at
+}
+
+// mark names the upstream in messages between daemons.
+func (u *Upstream) mark() uint32 {
+	return uint32(u.hash)
 }
 
 // score orders upstreams for an object by rendezvous hashing.
