Objects come home only where another region is distant

Change: the share that stays at home grows only while the way to the nearest other region takes a quarter of the time that some route has beside its service.

--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -520,3 +520,25 @@
 		}
 	}
 }
+
+// TestObjectsComeHomeOnlyFromDistantRegions has regions that are 70 ms apart, and requests that have much or little time beside their service.
+func TestObjectsComeHomeOnlyFromDistantRegions(t *testing.T) {
+	for _, tt := range []struct {
+		target daisygap.Millis
+		home   bool
+	}{{300, true}, {1_000, false}} {
+		f := newFleet("a", "n-1")
+		f.Replace(limits, all(6), nil, 0)
+		p := f.Pool("p")
+		r := reads()
+		r.Target = tt.target
+		for now := daisygap.Millis(0); now < 60_000; now += TickSpan {
+			c := p.Choose(query(r, uint64(now)), now)
+			p.Done(c, r.Name, Outcome{Result: Answered, Took: 120 + daisygap.Millis(p.trip(c.Upstream)), Trip: daisygap.Millis(p.trip(c.Upstream))}, now)
+			p.Tick(now)
+		}
+		if home := p.stay == 1; home != tt.home {
+			t.Errorf("target %d: all objects at home: %t, a part of %v", tt.target, home, p.stay)
+		}
+	}
+}
--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -103,6 +103,8 @@
 type times struct {
 	warm float64
 	cold float64
+	// target is the time within which an answer is of full value.
+	target float64
 }
 
 // replace sets the upstreams that may get new work.
@@ -298,10 +300,14 @@
 
 // trip returns the round trip to an upstream in ms.
 func (p *Pool) trip(u *Upstream) float64 {
-	if u.Region == p.Region {
+	return p.tripTo(u.Region)
+}
+
+func (p *Pool) tripTo(region string) float64 {
+	if region == p.Region {
 		return 0
 	}
-	if t, ok := p.trips[u.Region]; ok {
+	if t, ok := p.trips[region]; ok {
 		return t
 	}
 	return remoteTrip
--- a/internal/policy/placement/search.go
+++ b/internal/policy/placement/search.go
@@ -31,6 +31,7 @@
 func (p *Pool) search(q Query, able []*Upstream, now daisygap.Millis) *search {
 	s := &search{p: p, q: q, now: now, able: able}
 	t := p.timesOf(q.Route.Name)
+	t.target = float64(q.Route.Target)
 	s.service, s.coldly = t.warm, t.cold
 	if s.service == 0 {
 		s.service = float64(q.Route.Target) / 2
--- a/internal/policy/placement/stay.go
+++ b/internal/policy/placement/stay.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/daisygap/daisygap"
+import (
+	"math"
+
+	"github.com/daisygap/daisygap"
+)
 
 const (
 	// TickSpan is the time between two adjustments of the region's share.
@@ -12,6 +16,9 @@
 	// busy and idle are the parts of the own region's slots between which the share rests.
 	busy = 0.8
 	idle = 0.4
+	// distantShare is the part of a request's spare time that the way to another region must take for objects to come home; an object that
+	// moves is met anew.
+	distantShare = 0.25
 	// roomyUse is the part of a region's slots in use from which on objects stay with the upstreams that hold them.
 	roomyUse = 0.6
 )
@@ -47,6 +54,25 @@
 	case near > busy && away < near:
 		p.stay, p.bulkStay = max(0, p.stay-stayStep), max(0, p.bulkStay-bulkStep)
 	case near < idle || away > near:
-		p.stay, p.bulkStay = min(1, p.stay+stayStep), min(1, p.bulkStay+stayStep)
+		if p.distant() {
+			p.stay = min(1, p.stay+stayStep)
+		}
+		p.bulkStay = min(1, p.bulkStay+stayStep)
+	}
+}
+
+// distant tells whether the way to the nearest other region takes much of the time that a request has beside its service.
+func (p *Pool) distant() bool {
+	trip := math.Inf(1)
+	for _, region := range p.regions {
+		if region != p.Region {
+			trip = min(trip, p.tripTo(region))
+		}
+	}
+	for _, t := range p.times {
+		if t.warm > 0 && trip > distantShare*(t.target-t.warm) {
+			return true
+		}
 	}
+	return false
 }
