Logs tell the age of the load that decided

Cause: a choice and a refusal logged the load of an upstream without saying how old the report behind it was, which may now be another daemon's.

--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -60,9 +60,10 @@
 type Choice struct {
 	Upstream *Upstream
 	Verdict  Verdict
-	// Load and Wait are the estimates for the chosen or the best upstream, Wait in ms.
+	// Load and Wait are the estimates for the chosen or the best upstream, Wait in ms; Age is the age of the report behind them.
 	Load float64
 	Wait float64
+	Age  daisygap.Millis
 	// Retry is when a slot is expected, for a refusal.
 	Retry daisygap.Millis
 	// owner tells that the upstream holds the object for its region.
@@ -204,7 +205,7 @@
 			continue
 		}
 		u.nextCold = now + daisygap.Millis(math.Ceil(1_000/(p.limits.ColdRate*share)))
-		return Choice{Upstream: u, Verdict: Trickle, Load: u.load(now)}
+		return Choice{Upstream: u, Verdict: Trickle, Load: u.load(now), Age: now - u.reported}
 	}
 	return best
 }
--- a/internal/policy/placement/search.go
+++ b/internal/policy/placement/search.go
@@ -104,7 +104,7 @@
 }
 
 func (s *search) pick(u *Upstream, v Verdict, owner bool) (Choice, bool) {
-	return Choice{Upstream: u, Verdict: v, Load: u.load(s.now), Wait: u.wait(s.now, s.service), owner: owner}, true
+	return Choice{Upstream: u, Verdict: v, Load: u.load(s.now), Wait: u.wait(s.now, s.service), Age: s.now - u.reported, owner: owner}, true
 }
 
 // owner takes the upstream that holds the object in the region where it belongs.
@@ -208,7 +208,7 @@
 	wait := u.wait(s.now, s.service)
 	spare := max(0, onTimeShare*s.spare(u, s.service))
 	retry := daisygap.Millis(wait - spare)
-	return Choice{Verdict: Full, Load: u.load(s.now), Wait: wait, Retry: min(max(retry, retryLeast), retryMost)}
+	return Choice{Verdict: Full, Load: u.load(s.now), Wait: wait, Age: s.now - u.reported, Retry: min(max(retry, retryLeast), retryMost)}
 }
 
 // homeOf returns the region where a query's object belongs: the own one for a share of the objects, else that of the one region for all callers.
