--- a/internal/policy/placement/drift.go
+++ b/internal/policy/placement/drift.go
@@ -28,52 +28,64 @@
 	slice  daisygap.Millis
 }
 
+// windows are the requests by region of the current window and of the one before it.
+type windows struct {
+	current, before map[string]float64
+	all, allBefore  float64
+}
+
+// few tells whether shares are mostly chance.
+func (w *windows) few() bool {
+	return w.all < driftSample || w.allBefore < driftSample
+}
+
+// limit is the part of the requests that may move, chance included: the largest standard deviation of the difference of two shares.
+func (w *windows) limit() float64 {
+	return maxDrift + 0.5*math.Sqrt(1/w.all+1/w.allBefore)
+}
+
+// gained is by how much a region's share grew.
+func (w *windows) gained(region string) float64 {
+	return w.current[region]/w.all - w.before[region]/w.allBefore
+}
+
 // allows tells whether one more request may run in a region.
 func (d *drift) allows(region string, now daisygap.Millis) bool {
-	current, before, all, allBefore := d.windows(now)
-	if all < driftSample || allBefore < driftSample {
+	w := d.windows(now)
+	if w.few() {
 		return true
 	}
-	current[region]++
-	all++
+	w.current[region]++
+	w.all++
 	moved := 0.0
-	for r, n := range current {
-		moved += max(0, n/all-before[r]/allBefore)
+	for r := range w.current {
+		moved += max(0, w.gained(r))
 	}
-	return moved <= maxDrift+chance(all, allBefore) || current[region]/all <= before[region]/allBefore
+	return moved <= w.limit() || w.gained(region) <= 0
 }
 
 // lacks tells whether a region's share fell by so much that it has to take more than its upstreams serve in time.
 func (d *drift) lacks(region string, now daisygap.Millis) bool {
-	current, before, all, allBefore := d.windows(now)
-	if all < driftSample || allBefore < driftSample {
-		return false
-	}
-	return before[region]/allBefore-current[region]/all > lackShare*(maxDrift+chance(all, allBefore))
-}
-
-// chance is the largest standard deviation of the difference of two shares.
-func chance(all, allBefore float64) float64 {
-	return 0.5 * math.Sqrt(1/all+1/allBefore)
+	w := d.windows(now)
+	return !w.few() && -w.gained(region) > lackShare*w.limit()
 }
 
-// windows returns the requests by region and in sum of the current window and the one before it.
-func (d *drift) windows(now daisygap.Millis) (current, before map[string]float64, all, allBefore float64) {
+func (d *drift) windows(now daisygap.Millis) windows {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.advance(now)
-	current, before = make(map[string]float64), make(map[string]float64)
+	w := windows{current: make(map[string]float64), before: make(map[string]float64)}
 	for i := range d.slices {
-		to, sum := current, &all
+		to, sum := w.current, &w.all
 		if i >= driftSlices {
-			to, sum = before, &allBefore
+			to, sum = w.before, &w.allBefore
 		}
 		for r, n := range d.slices[int(d.slice-daisygap.Millis(i)+2*driftSlices)%len(d.slices)] {
 			to[r] += n
 			*sum += n
 		}
 	}
-	return current, before, all, allBefore
+	return w
 }
 
 // note counts a request.
--- a/internal/policy/placement/search.go
+++ b/internal/policy/placement/search.go
@@ -171,25 +171,12 @@
 
 // late takes the owner with the shortest queue, or the nearest for large answers, when nothing can be on time.
 func (s *search) late() (Choice, bool) {
-	most := lateShare[min(max(s.q.Route.Rank, 0), len(lateShare)-1)]
-	// A longer queue would make those that come next late as well.
-	punctual := onTimeShare * (float64(s.q.Route.Target) - s.service)
 	var best *Upstream
 	for _, u := range s.owners {
-		if u.Region != s.home && !s.maySpill() {
-			continue
-		}
-		wait := u.wait(s.now, s.service)
-		held := max(u.service, s.service)
-		queue := held
-		if punctual > 0 {
-			queue = min(held, punctual)
-		}
-		deep := u.Region == s.home && s.p.drift.lacks(u.Region, s.now)
-		if !s.mayRun(u.Region) || wait > most*queue && !deep || wait+s.p.trip(u)+held > float64(s.q.Left) {
+		if u.Region != s.home && !s.maySpill() || !s.mayRun(u.Region) || !s.bears(u) {
 			continue
 		}
-		if best == nil || !s.q.Route.Bulk && wait < best.wait(s.now, s.service) {
+		if best == nil || !s.q.Route.Bulk && u.wait(s.now, s.service) < best.wait(s.now, s.service) {
 			best = u
 		}
 	}
@@ -202,6 +189,21 @@
 	return s.pick(best, Late, best.Region == s.home)
 }
 
+// bears tells whether an upstream's queue is short enough for a request that will be late.
+func (s *search) bears(u *Upstream) bool {
+	wait, held := u.wait(s.now, s.service), max(u.service, s.service)
+	if wait+s.p.trip(u)+held > float64(s.q.Left) {
+		return false
+	}
+	queue := held
+	// A longer queue would make those that come next late as well.
+	if punctual := onTimeShare * (float64(s.q.Route.Target) - s.service); punctual > 0 {
+		queue = min(held, punctual)
+	}
+	most := lateShare[min(max(s.q.Route.Rank, 0), len(lateShare)-1)]
+	return wait <= most*queue || u.Region == s.home && s.p.drift.lacks(u.Region, s.now)
+}
+
 // refusal says when the object's owner is expected to have a slot.
 func (s *search) refusal() Choice {
 	u := s.owners[0]
--- a/internal/policy/placement/stay.go
+++ b/internal/policy/placement/stay.go
@@ -27,38 +27,41 @@
 func (p *Pool) Tick(now daisygap.Millis) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	near, away, both := p.measureUse(now)
+	switch {
+	case !both:
+	case near > busy && away < near:
+		p.stay, p.bulkStay = max(0, p.stay-stayStep), max(0, p.bulkStay-bulkStep)
+	case near < idle || away > near:
+		if p.distant() {
+			p.stay = min(1, p.stay+stayStep)
+		}
+		p.bulkStay = min(1, p.bulkStay+stayStep)
+	}
+}
+
+// measureUse keeps the part of each region's slots in use, and returns that of the own region and of the others, if both have slots.
+func (p *Pool) measureUse(now daisygap.Millis) (near, away float64, both bool) {
 	load, slots := make(map[string]float64), make(map[string]float64)
-	var own, ownSlots, far, farSlots float64
 	for _, u := range p.upstreams {
-		if u.isDown(now) || u.isCold(now) {
-			continue
+		if !u.isDown(now) && !u.isCold(now) {
+			load[u.Region] += u.load(now)
+			slots[u.Region] += float64(u.Slots)
 		}
-		load[u.Region] += u.load(now)
-		slots[u.Region] += float64(u.Slots)
 	}
 	p.use = make(map[string]float64, len(slots))
+	var far, farSlots float64
 	for region, n := range slots {
 		p.use[region] = load[region] / n
-		if region == p.Region {
-			own, ownSlots = load[region], n
-		} else {
+		if region != p.Region {
 			far += load[region]
 			farSlots += n
 		}
 	}
-	if ownSlots == 0 || farSlots == 0 {
-		return
-	}
-	near, away := own/ownSlots, far/farSlots
-	switch {
-	case near > busy && away < near:
-		p.stay, p.bulkStay = max(0, p.stay-stayStep), max(0, p.bulkStay-bulkStep)
-	case near < idle || away > near:
-		if p.distant() {
-			p.stay = min(1, p.stay+stayStep)
-		}
-		p.bulkStay = min(1, p.bulkStay+stayStep)
+	if slots[p.Region] == 0 || farSlots == 0 {
+		return 0, 0, false
 	}
+	return p.use[p.Region], far / farSlots, true
 }
 
 // distant tells whether the way to the nearest other region takes much of the time that a request has beside its service.
