--- a/internal/soak/fault/kinds.go
+++ b/internal/soak/fault/kinds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"syscall"
 	"time"
 
@@ -134,12 +135,7 @@
 func (w *world) runsStill(s *server) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, o := range w.servers {
-		if o == s {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(w.servers, s)
 }
 
 // compact drops the store's history and cuts the watches.
--- a/internal/soak/process/daemon.go
+++ b/internal/soak/process/daemon.go
@@ -45,7 +45,7 @@
 	if err := os.WriteFile(file, data, 0o600); err != nil {
 		return err
 	}
-	log, err := os.OpenFile(d.LogFile(), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(filepath.Join(d.Folder, d.Settings.Host+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -72,11 +72,6 @@
 	close(ended)
 }
 
-// LogFile is where the process's lines go.
-func (d *Daemon) LogFile() string {
-	return filepath.Join(d.Folder, d.Settings.Host+".log")
-}
-
 // Life counts the starts so far.
 func (d *Daemon) Life() int {
 	d.mu.Lock()
@@ -84,13 +79,6 @@
 	return d.life
 }
 
-// Runs tells whether a process is there.
-func (d *Daemon) Runs() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.cmd != nil
-}
-
 // Signal sends a signal to the process, if there is one.
 func (d *Daemon) Signal(s syscall.Signal) {
 	d.mu.Lock()
--- a/internal/soak/promise/sums.go
+++ b/internal/soak/promise/sums.go
@@ -47,23 +47,17 @@
 
 // Close checks the sums of a run with what each server ran; the requests from a time on must be served again.
 func (l *Ledger) Close(runs map[string][]instance.Run, recovered time.Time) {
-	if c := l.Counts(recovered); float64(c.Served) < leastServed*float64(c.Asked) {
-		l.Overdue("only %d of %d requests were served after the recovery time", c.Served, c.Asked)
-	}
+	c := l.Counts(recovered)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if float64(c.Served) < leastServed*float64(c.Asked) {
+		l.fail("RECOVER", "only %d of %d requests were served after the recovery time", c.Served, c.Asked)
+	}
 	l.checkBudgets()
 	l.checkTimeouts()
 	l.checkGone(runs)
 }
 
-// Overdue notes a recovery that didn't come.
-func (l *Ledger) Overdue(format string, args ...any) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.fail("RECOVER", format, args...)
-}
-
 // checkBudgets bounds the repeats at each pool in every window.
 func (l *Ledger) checkBudgets() {
 	sent := make(map[string][]time.Time)
