--- /dev/null
+++ b/internal/policy/placement/drift_test.go
@@ -0,0 +1,137 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/daisygap/daisygap"
+)
+
+// TestRegionsShareMovesSlowly simulates a region that gets too much work at once, and bounds how much leaves it from one window to the next.
+func TestRegionsShareMovesSlowly(t *testing.T) {
+	const (
+		service = 100
+		window  = 2_000
+		most    = 0.15
+	)
+	f := newFleet("a", "n-1")
+	list := append(instances("n-1", 2, 60), instances("s-1", 8, 60)...)
+	f.Replace(limits, list, nil, 0)
+	p := f.Pool("p")
+	r := rand.New(rand.NewPCG(5, 5))
+	type running struct {
+		c   Choice
+		end daisygap.Millis
+	}
+	var busy []running
+	home := make(map[daisygap.Millis]float64)
+	served := make(map[daisygap.Millis]float64)
+	for now := daisygap.Millis(troubleSpan); now < 60_000; now++ {
+		var rest []running
+		for _, b := range busy {
+			if b.end > now {
+				rest = append(rest, b)
+				continue
+			}
+			p.Done(b.c, "r", Outcome{Result: Answered, Took: service}, now)
+		}
+		busy = rest
+		if now%TickSpan == 0 {
+			p.Tick(now)
+		}
+		arrivals := 1 + r.IntN(2)
+		if now > 20_000 && now < 40_000 {
+			arrivals = 2 + r.IntN(2)
+		}
+		for range arrivals {
+			c := p.Choose(query(reads(), uint64(r.IntN(100))), now)
+			if c.Upstream == nil {
+				continue
+			}
+			busy = append(busy, running{c, now + service + daisygap.Millis(c.Wait)})
+			served[now/window]++
+			if c.Upstream.Region == "north" {
+				home[now/window]++
+			}
+		}
+	}
+	for w := daisygap.Millis(4); w < 29; w++ {
+		before, after := home[w-1]/served[w-1], home[w]/served[w]
+		if moved := math.Abs(after - before); moved > most {
+			t.Errorf("from %d s on %.3f of the requests changed their region", w*window/1_000, moved)
+		}
+	}
+}
+
+// TestBurstMovesNoRegionsShare has other daemons fill the upstreams of the own region at once, also wholly, and bounds how the served requests move.
+func TestBurstMovesNoRegionsShare(t *testing.T) {
+	for _, waiting := range []int{40, 60, 80} {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprintf("%d waiting, seed %d", waiting, seed), func(t *testing.T) {
+				burst(t, waiting, seed)
+			})
+		}
+	}
+}
+
+// burst runs the simulation with a number of other daemons' requests waiting at each upstream of the own region.
+func burst(t *testing.T, waiting int, seed uint64) {
+	t.Helper()
+	const (
+		service = 100
+		window  = 2_000
+		most    = 0.15
+	)
+	f := newFleet("a", "n-1")
+	f.Replace(limits, append(instances("n-1", 2, 20), instances("s-1", 8, 20)...), nil, 0)
+	p := f.Pool("p")
+	p.stay = 0.5
+	r := rand.New(rand.NewPCG(seed, seed))
+	type running struct {
+		c   Choice
+		end daisygap.Millis
+	}
+	var busy []running
+	var regions []string
+	var times []daisygap.Millis
+	for now := daisygap.Millis(troubleSpan); now < 40_000; now++ {
+		busy = slices.DeleteFunc(busy, func(b running) bool {
+			if b.end <= now {
+				o := Outcome{Result: Answered, Took: service}
+				if b.c.Upstream.Region == "north" && now > 20_000 && now < 24_000 {
+					o.Load = &daisygap.LoadReport{Running: 20, Waiting: waiting, Slots: 20}
+				}
+				p.Done(b.c, "r", o, now)
+			}
+			return b.end <= now
+		})
+		for range r.IntN(2) {
+			c := p.Choose(query(reads(), uint64(r.IntN(100))), now)
+			if c.Upstream == nil {
+				continue
+			}
+			busy = append(busy, running{c, now + service + daisygap.Millis(c.Wait)})
+			regions, times = append(regions, c.Upstream.Region), append(times, now)
+		}
+	}
+	share := func(from daisygap.Millis) float64 {
+		home, all := 0.0, 0.0
+		for i, at := range times {
+			if at >= from && at < from+window {
+				all++
+				if regions[i] == "north" {
+					home++
+				}
+			}
+		}
+		return home / all
+	}
+	for from := daisygap.Millis(10_000); from < 36_000; from += 250 {
+		if moved := math.Abs(share(from) - share(from-window)); moved > most {
+			t.Errorf("from %d ms on %.3f of the requests changed their region", from, moved)
+		}
+	}
+}
--- a/internal/policy/roster/roster.go
+++ b/internal/policy/roster/roster.go
@@ -11,7 +11,7 @@
 	DeadAfter = daisygap.Millis(3_000)
 	// forgetAfter is the silence after which nothing of a daemon is kept.
 	forgetAfter = daisygap.Millis(60_000)
-	// maxSample is the number of heartpulses that one message names.
+	// maxSample is the number of heartbeats that one message names.
 	maxSample = 24
 )
 
@@ -43,7 +43,7 @@
 	return r.peers
 }
 
-// Hear takes heartpulses in and reports whether any daemon appeared or changed its state.
+// Hear takes heartbeats in and reports whether any daemon appeared or changed its state.
 func (r *Roster) Hear(pulses []daisygap.Pulse, now daisygap.Millis) bool {
 	if r.members == nil {
 		r.members = make(map[string]*member)
