--- a/internal/soak/fault/run.go
+++ b/internal/soak/fault/run.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	"github.com/daisygap/daisygap/internal/soak/caller"
 	"github.com/daisygap/daisygap/internal/soak/promise"
+	"github.com/daisygap/daisygap/internal/standin/client"
 )
 
 const (
@@ -97,7 +97,7 @@
 	group := new(sync.WaitGroup)
 	for i := range number {
 		domain := domains[i%len(domains)]
-		c := &caller.Caller{
+		c := &client.Caller{
 			Name: fmt.Sprintf("%s-%d", name, i), Domain: domain, Region: regions[domain], Patient: i%3 == 0, Pause: pause,
 			Entries: r.world.entries(), Kinds: r.world.currentKinds, Ledger: r.world.ledger,
 			Random: rand.New(rand.NewPCG(r.Seed, r.random.Uint64())),
@@ -108,11 +108,11 @@
 }
 
 func (w *world) awaitReady() error {
-	client := &http.Client{Timeout: time.Second}
+	checks := &http.Client{Timeout: time.Second}
 	for end := time.Now().Add(readyLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ready := 0
 		for _, h := range w.hosts {
-			res, err := client.Get("http://" + h.Settings.Steering.Ready + "/readiness")
+			res, err := checks.Get("http://" + h.Settings.Steering.Ready + "/readiness")
 			if err != nil {
 				break
 			}
--- a/internal/soak/fault/world.go
+++ b/internal/soak/fault/world.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"github.com/daisygap/daisygap"
-	"github.com/daisygap/daisygap/internal/soak/caller"
 	"github.com/daisygap/daisygap/internal/soak/link"
 	"github.com/daisygap/daisygap/internal/soak/process"
 	"github.com/daisygap/daisygap/internal/soak/promise"
+	"github.com/daisygap/daisygap/internal/standin/client"
 	"github.com/daisygap/daisygap/internal/standin/instance"
 	"github.com/daisygap/daisygap/internal/standin/port"
 	"github.com/daisygap/daisygap/internal/standin/site"
@@ -69,7 +69,7 @@
 	// routes are the lasting ones; generations are the numbers of those that come and go, the newest last.
 	routes      []site.Route
 	generations []int
-	kinds       []caller.Kind
+	kinds       []client.Kind
 }
 
 // lastingRoutes are the routes that every configuration has.
@@ -82,12 +82,12 @@
 }
 
 // lastingKinds are the requests on them.
-func lastingKinds() []caller.Kind {
+func lastingKinds() []client.Kind {
 	read := promise.Route{Pool: "stock", Repeat: true, Attempts: 2, Timeout: 2 * time.Second}
 	order := promise.Route{Pool: "desk", Attempts: 2, Timeout: 2 * time.Second}
 	brief, home := read, read
 	brief.Timeout, home.Home = 400*time.Millisecond, "south"
-	return []caller.Kind{
+	return []client.Kind{
 		{Method: http.MethodGet, Prefix: "/reads/", Weight: 30, Route: read},
 		{Method: http.MethodPost, Prefix: "/orders/", Weight: 35, Route: order},
 		{Method: http.MethodGet, Prefix: "/files/", Weight: 10, Route: read},
@@ -168,10 +168,10 @@
 }
 
 // entries are the daemons as callers find them.
-func (w *world) entries() []caller.Entry {
-	var list []caller.Entry
+func (w *world) entries() []client.Entry {
+	var list []client.Entry
 	for _, h := range w.hosts {
-		list = append(list, caller.Entry{
+		list = append(list, client.Entry{
 			Name: h.Settings.Host, Domain: h.domain, Region: regions[h.domain], Named: h.Settings.Caller,
 			Caller: h.callers.Address(), Directory: h.Settings.Steering.Directory, Life: h.Life,
 		})
@@ -270,14 +270,14 @@
 	return nil
 }
 
-func generationKind(prefix string, number int) caller.Kind {
-	return caller.Kind{
+func generationKind(prefix string, number int) client.Kind {
+	return client.Kind{
 		Method: http.MethodGet, Prefix: prefix, Weight: 5,
 		Route: promise.Route{Pool: "stock", Repeat: true, Attempts: 2, Timeout: 2 * time.Second, Generation: number},
 	}
 }
 
-func (w *world) currentKinds() []caller.Kind {
+func (w *world) currentKinds() []client.Kind {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.kinds
--- a/internal/soak/caller/caller.go
+++ b/internal/standin/client/caller.go
@@ -1,4 +1,4 @@
-package caller
+package client
 
 import (
 	"context"
