--- a/internal/standin/instance/server.go
+++ b/internal/standin/instance/server.go
@@ -123,6 +123,7 @@
 	running         int
 	draining        bool
 	leaving         string
+	limit           string
 	sequence        int
 	cuts            atomic.Int64
 	startedAtMillis int64
@@ -177,6 +178,13 @@
 	s.leaving = value
 }
 
+// SetLimit makes all responses bear the header Server-Limit with this value.
+func (s *Server) SetLimit(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = value
+}
+
 // Runs returns the requests that the server started to run, in order.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -233,6 +241,9 @@
 	if s.leaving != "" {
 		w.Header().Set("Server-Leaving", s.leaving)
 	}
+	if s.limit != "" {
+		w.Header().Set("Server-Limit", s.limit)
+	}
 	s.mu.Unlock()
 	if s.OnArrival != nil {
 		s.OnArrival(Arrival{ID: r.Header.Get("Request-Id"), Path: r.URL.RequestURI(), Body: string(body), Executed: run != nil})
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -56,7 +56,8 @@
 type Daemon struct {
 	Listeners *steer.Listeners
 	Settings  *daisygap.Settings
-	cancel    context.CancelFunc
+	// Cancel ends the daemon's control loops.
+	Cancel context.CancelFunc
 }
 
 // Run starts the store and writes the initial configuration.
@@ -194,7 +195,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.Run(ctx)
 	listeners.Run()
-	started := &Daemon{Listeners: listeners, Settings: settings, cancel: cancel}
+	started := &Daemon{Listeners: listeners, Settings: settings, Cancel: cancel}
 	s.daemons = append(s.daemons, started)
 	return started, nil
 }
@@ -213,7 +214,7 @@
 
 // Stop stops a daemon abruptly, without draining, and waits for its goroutines.
 func (d *Daemon) Stop() {
-	d.cancel()
+	d.Cancel()
 	d.Listeners.Close()
 	d.Listeners.Daemon.Wait()
 }
