platform: Server-Limit is decoded into a rate of requests per second

A server in need names the rate that it takes from all hosts together; nothing read it. Negative, not a number, infinite, enormous and repeated values are counted, logged and otherwise ignored, so that they neither set nor end a limit.

--- a/protocol.go
+++ b/protocol.go
@@ -47,6 +47,11 @@
 	Leaving bool
 	// Pause is how long the upstream wants no request from this daemon, or 0.
 	Pause Millis
+	// NamesRate reports whether the upstream limits the requests per second that it takes from all daemons together to Rate.
+	NamesRate bool
+	Rate      float64
+	// RateUnknown reports whether the response has an invalid rate, which neither sets nor ends a limit.
+	RateUnknown bool
 	// Malformed is a header with an invalid value, which is otherwise ignored, or "".
 	Malformed string
 }
