placement: daemons together keep the rate that an upstream names

Cause: no daemon read the rate, and nothing that a daemon counts by itself bounds what all of them send.

One daemon by upstream, chosen by rendezvous hash among those alive in its region, is the arbiter of its rate. It lends up to six tenths of it to daemons with steady demand, for 1.5 s and in proportion to their demand, and grants the rest as single permits from a token bucket. Every choice asks the upstream's availability, as for departures and pauses; without a permit the object goes to the best upstream of the region that doesn't limit its rate. The limit belongs to a process; it ends with a response to a request that was sent after the last response with the limit arrived. Changes travel with the gossip with start time and age. An arbiter that took over grants half for 4 s, and each side of a partition the fraction of the daemons that it sees. Zero leaves 0.2 requests a second.

--- a/gossip.go
+++ b/gossip.go
@@ -35,11 +35,51 @@
 	Age  Millis `json:"a"`
 }
 
+// RateReport is what a response of an upstream said about the rate of requests that it takes from all daemons together.
+type RateReport struct {
+	// Upstream is the truncated hash of the upstream's name, and StartTime the Unix time of its process's start in milliseconds.
+	Upstream  uint32 `json:"u"`
+	StartTime int64  `json:"s"`
+	// Named reports whether the response names a rate. Rate is in requests per second.
+	Named bool    `json:"n,omitempty"`
+	Rate  float64 `json:"r,omitempty"`
+	// SentAge is the time since the request was sent, and Age the time since its response arrived.
+	SentAge Millis `json:"q"`
+	Age     Millis `json:"a"`
+}
+
+// PermitRequest asks an upstream's arbiter for the permission to send it requests.
+type PermitRequest struct {
+	// Report is what the asking daemon knows of the upstream's rate.
+	Report RateReport `json:"l"`
+	// From is the name of the asking daemon.
+	From string `json:"f"`
+	// Waiting reports whether a request waits for a permit.
+	Waiting bool `json:"w,omitempty"`
+	// Demand is the number of requests that the daemon had for the upstream since it asked last.
+	Demand int `json:"d,omitempty"`
+	// Priority is that of the request's route. 0 is the highest.
+	Priority int `json:"p,omitempty"`
+}
+
+// PermitReply is the response to a PermitRequest.
+type PermitReply struct {
+	// Granted reports whether the waiting request may be sent, and Lent is the rate in requests per second at which the daemon may
+	// send further ones for a while.
+	Granted bool    `json:"g,omitempty"`
+	Lent    float64 `json:"r,omitempty"`
+	// Wait is the time after which the daemon may ask again, if no permit was granted.
+	Wait Millis `json:"w,omitempty"`
+	// Report is what the arbiter knows of the upstream's rate. It is nil if the arbiter doesn't know the upstream's process.
+	Report *RateReport `json:"l,omitempty"`
+}
+
 // Gossip is the message that each of two daemons sends in one gossip exchange.
 type Gossip struct {
 	Heartbeats []GossipHeartbeat `json:"b"`
 	Crashes    []CrashReport     `json:"x,omitempty"`
 	Loads      []LoadObservation `json:"l,omitempty"`
+	Rates      []RateReport      `json:"t,omitempty"`
 }
 
 // StoreUpdate transfers entries of the store from one daemon to another: the changes after a revision, or a full copy.
@@ -72,6 +112,8 @@
 type SteeringPeers interface {
 	// Gossip exchanges heartbeats, crash reports and loads with a daemon.
 	Gossip(address string, g Gossip) (Gossip, error)
+	// Permit asks the arbiter of an upstream's rate for the permission to send it requests.
+	Permit(ctx context.Context, address string, r PermitRequest) (PermitReply, error)
 	// Mirror fetches the changes of a daemon's replica of the store.
 	Mirror(ctx context.Context, address string, q MirrorQuery) (StoreUpdate, error)
 }
@@ -79,6 +121,7 @@
 // SteeringService is the server side of the calls between steering daemons.
 type SteeringService interface {
 	ServeGossip(g Gossip) Gossip
+	ServePermit(r PermitRequest) PermitReply
 	// ServeMirror returns early when the context ends, because the caller no longer waits for the result.
 	ServeMirror(ctx context.Context, q MirrorQuery) StoreUpdate
 }
--- a/internal/adapter/peer/steering.go
+++ b/internal/adapter/peer/steering.go
@@ -12,6 +12,7 @@
 const (
 	methodGossip = "gossip"
 	methodMirror = "mirror"
+	methodPermit = "permit"
 )
 
 var _ daisygap.SteeringPeers = (*Client)(nil)
@@ -23,6 +24,13 @@
 	return reply, err
 }
 
+// Permit asks the arbiter of an upstream's rate for the permission to send it requests.
+func (c *Client) Permit(ctx context.Context, address string, r daisygap.PermitRequest) (daisygap.PermitReply, error) {
+	var reply daisygap.PermitReply
+	err := c.call(ctx, address, callTimeout, methodPermit, r, &reply)
+	return reply, err
+}
+
 // Mirror fetches the changes of a peer's replica of the store. A query with a wait ends the one before it on the peer's connection.
 func (c *Client) Mirror(ctx context.Context, address string, q daisygap.MirrorQuery) (daisygap.StoreUpdate, error) {
 	var result mirrorResult
@@ -38,6 +46,8 @@
 	case s.Steering == nil:
 	case r.Method == methodGossip:
 		return serveCall(r, func(g daisygap.Gossip) (daisygap.Gossip, error) { return s.Steering.ServeGossip(g), nil })
+	case r.Method == methodPermit:
+		return serveCall(r, func(p daisygap.PermitRequest) (daisygap.PermitReply, error) { return s.Steering.ServePermit(p), nil })
 	case r.Method == methodMirror:
 		return serveCall(r, func(q mirrorParams) (mirrorResult, error) {
 			ctx, cancel := context.WithCancel(context.Background())
--- a/internal/daemon/steer/attempt.go
+++ b/internal/daemon/steer/attempt.go
@@ -45,6 +45,7 @@
 	closeConn func()
 	cancel    context.CancelFunc
 	err       error
+	started   daisygap.Millis
 	duration  daisygap.Millis
 	dialTime  daisygap.Millis
 	choice    placement.Choice
@@ -61,7 +62,7 @@
 func (e *exchange) sendAttempt(ctx context.Context, c placement.Choice) *attempt {
 	started := e.d.Clock.Now()
 	ctx, cancel := context.WithCancel(ctx)
-	a := &attempt{choice: c, cancel: cancel}
+	a := &attempt{choice: c, cancel: cancel, started: started}
 	conn := &attemptConn{clock: e.d.Clock}
 	a.closeConn = conn.close
 	res, err := e.d.Upstream.Send(httptrace.WithClientTrace(ctx, conn.trace()), e.upstreamRequest(c), false)
@@ -229,6 +230,7 @@
 	// A response to another request, or of another instance, says nothing about this upstream.
 	if a.head.ID == e.head.ID && !a.head.Misdirected {
 		o.Leaving, o.Pause = a.head.Leaving, a.head.Pause
+		o.KnowsRate, o.NamesRate, o.Rate, o.SentAt = a.res != nil && !a.head.RateUnknown, a.head.NamesRate, a.head.Rate, a.started
 	}
 	switch {
 	case a.superseded || e.in.Context().Err() != nil:
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -41,6 +41,7 @@
 	crashes      crashReports
 	registration registration
 	events       eventLimits
+	renewals     renewals
 }
 
 // snapshot is the immutable configuration that the request path reads.
@@ -73,7 +74,7 @@
 	d.budgets.window, _ = s.Steering.RetryWindow.Millis()
 	d.updateDaemonNames()
 	d.Log.Event("start", daisygap.Fields{"host": s.Host, "domain": s.Domain, "region": s.Region, "run": d.membership.roster.Self.Peer.Incarnation})
-	for _, loop := range []func(){d.runWatch, d.runCatchUp, d.runRegister, d.runGossip, d.runLapseExpiry, d.runPoolTicks, d.runHints} {
+	for _, loop := range []func(){d.runWatch, d.runCatchUp, d.runRegister, d.runGossip, d.runLapseExpiry, d.runPoolTicks, d.runHints, d.runRenewals} {
 		d.loops.Go(loop)
 	}
 }
--- a/internal/daemon/steer/events.go
+++ b/internal/daemon/steer/events.go
@@ -111,15 +111,21 @@
 	})
 }
 
-// logNotice logs that an upstream's response began its departure or a pause.
+// sourceAnswer is the source of what an upstream announced in its response to this daemon.
+const sourceAnswer = "answer"
+
+// logNotice logs that an upstream's response began its departure or a pause, or changed its rate.
 func (e *exchange) logNotice(u *placement.Upstream, n placement.Notice) {
 	fields := func() daisygap.Fields {
-		return daisygap.Fields{"id": e.head.ID, "upstream": u.ID, "run": u.StartTime, "from": "answer"}
+		return daisygap.Fields{"id": e.head.ID, "upstream": u.ID, "run": u.StartTime, "from": sourceAnswer}
 	}
 	if n.LeavingBegan {
 		departuresByAnswer.Inc()
 		e.d.event("upstream leaving", "upstream leaving", fields)
 	}
+	if n.Rate != nil {
+		e.d.logRateChange(*n.Rate, sourceAnswer, e.head.ID)
+	}
 	if n.PauseBegan {
 		pausesBegun.Inc()
 		e.d.event("upstream paused", "upstream paused", func() daisygap.Fields {
@@ -147,6 +153,9 @@
 		if a.choice.PassedOver > 0 {
 			f["passed_over"] = a.choice.PassedOver
 		}
+		if e.permitRequests > 0 {
+			f["permits"] = e.permitRequests
+		}
 		f["upstream"], f["verdict"], f["load"], f["load_age_ms"], f["offer_ms"] = a.choice.Upstream.ID, a.choice.Verdict, a.choice.Load, a.choice.ReportAge, a.duration
 		if a.err != nil {
 			f["error"] = a.err.Error()
--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -51,6 +51,8 @@
 	unreachable  int
 	// reached counts the attempts that reached an upstream, whether or not it may have executed the request.
 	reached int
+	// permitRequests counts the permits that were requested for upstreams that limit their rate.
+	permitRequests int
 	// lastReason is why the last attempt failed.
 	lastReason daisygap.Reason
 	// fallback is a 5xx response that is delivered when no other upstream succeeds.
@@ -190,6 +192,10 @@
 		return placement.Choice{}, false
 	}
 	c := pool.Choose(e.query(now), now)
+	for c.NeedsPermit && !e.obtainPermit(pool, c) {
+		now = e.d.Clock.Now()
+		c = pool.Choose(e.query(now), now)
+	}
 	if c.Upstream == nil {
 		reason := reasonOf(c.Verdict)
 		if c.Verdict == placement.Tried {
@@ -204,7 +210,7 @@
 func (e *exchange) query(now daisygap.Millis) placement.Query {
 	return placement.Query{
 		Route: e.route, ObjectHash: e.objectHash, HasObject: e.head.AffinityKey != "",
-		Elapsed: now - e.started, Remaining: e.deadline - now, Tried: e.tried,
+		Elapsed: now - e.started, Remaining: e.deadline - now, Tried: e.tried, PermitRequests: e.permitRequests,
 	}
 }
 
@@ -212,7 +218,7 @@
 	switch v {
 	case placement.Full:
 		return daisygap.ReasonQueueFull
-	case placement.Paused:
+	case placement.Paused, placement.Limited:
 		return daisygap.ReasonUpstreamShed
 	case placement.Forbidden:
 		return daisygap.ReasonNotAllowed
--- a/internal/daemon/steer/gossip.go
+++ b/internal/daemon/steer/gossip.go
@@ -29,6 +29,8 @@
 	roster roster.Roster
 	// relayBackoff holds the addresses of daemons that failed as relays, and until when they aren't used again.
 	relayBackoff map[string]daisygap.Millis
+	// arbiterBackoff holds the addresses of daemons that didn't respond to a request for a permit, and until when they aren't asked.
+	arbiterBackoff map[string]daisygap.Millis
 	// behindSince is when another daemon was first seen with a newer store revision, or 0 if none has one.
 	behindSince daisygap.Millis
 }
@@ -87,7 +89,10 @@
 	self := &d.membership.roster.Self
 	self.Counter++
 	self.Ready, self.Leaving, self.Revision = d.Ready(), d.stopping.Load(), revision
-	return daisygap.Gossip{Heartbeats: d.membership.roster.Sample(now), Crashes: d.crashes.recent(now), Loads: d.fleet.RecentLoads(now)}
+	return daisygap.Gossip{
+		Heartbeats: d.membership.roster.Sample(now), Crashes: d.crashes.recent(now),
+		Loads: d.fleet.RecentLoads(now), Rates: d.fleet.RecentRates(now),
+	}
 }
 
 func (d *Daemon) mergeGossip(g daisygap.Gossip) {
@@ -97,6 +102,7 @@
 	d.membership.mu.Unlock()
 	d.crashes.merge(g.Crashes, now)
 	d.fleet.MergeLoads(g.Loads, now)
+	d.mergeRates(g.Rates, "peer")
 	if changed {
 		d.updateDaemonNames()
 	}
@@ -168,9 +174,11 @@
 func (d *Daemon) updateDaemonNames() {
 	d.membership.mu.Lock()
 	names := []string{d.Settings.Host}
-	for _, p := range d.membership.roster.Alive(d.Clock.Now()) {
+	alive := d.membership.roster.Alive(d.Clock.Now())
+	for _, p := range alive {
 		names = append(names, p.Name)
 	}
+	d.updateArbiters(alive)
 	d.membership.mu.Unlock()
 	d.fleet.SetDaemons(names)
 	d.budgets.setDaemons(len(names))
--- a/internal/daemon/steer/limit_test.go
+++ b/internal/daemon/steer/limit_test.go
@@ -50,7 +50,7 @@
 		client := newClient(ts.t)
 		group.Go(func() {
 			for i := n; time.Now().Before(end); i++ {
-				r := ts.sendRequest(client, ts.daemons[i%len(ts.daemons)], http.MethodGet, fmt.Sprintf("/reads/%d", i), "")
+				r := ts.sendRequest(client, ts.daemons[i%len(ts.daemons)], http.MethodGet, fmt.Sprintf("/reads/%d-%d", n, i), "")
 				mu.Lock()
 				results = append(results, r)
 				mu.Unlock()
@@ -79,7 +79,7 @@
 	}
 	for _, r := range results {
 		if r.status != http.StatusOK || r.header.Get("Server-Limit") != "" {
-			t.Fatalf("status %d, Server-Limit %q, want 200 without the header", r.status, r.header.Get("Server-Limit"))
+			t.Fatalf("status %d, Server-Limit %q, want 200 without the header (%v)", r.status, r.header.Get("Server-Limit"), r.header)
 		}
 	}
 }
--- a/internal/policy/placement/departure.go
+++ b/internal/policy/placement/departure.go
@@ -29,6 +29,7 @@
 	startTime   int64
 	leaving     bool
 	pausedUntil daisygap.Millis
+	limit       rateLimit
 }
 
 // record keeps the notices of an upstream's process.
@@ -41,7 +42,7 @@
 	if _, known := n.byID[u.ID]; !known {
 		n.order = append(n.order, u.ID)
 	}
-	n.byID[u.ID] = processNotice{startTime: u.StartTime, leaving: u.leaving, pausedUntil: u.pausedUntil}
+	n.byID[u.ID] = processNotice{startTime: u.StartTime, leaving: u.leaving, pausedUntil: u.pausedUntil, limit: u.limit}
 	if len(n.order) > maxNotices {
 		delete(n.byID, n.order[0])
 		n.order = n.order[1:]
@@ -53,7 +54,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if notice, known := n.byID[u.ID]; known && notice.startTime == u.StartTime {
-		u.leaving, u.pausedUntil = notice.leaving, notice.pausedUntil
+		u.leaving, u.pausedUntil, u.limit = notice.leaving, notice.pausedUntil, notice.limit
 	}
 }
 
@@ -66,6 +67,8 @@
 	leaving
 	// paused means that the upstream asked this daemon for a pause.
 	paused
+	// limited means that this daemon gets no permit, because all daemons together send as much as the upstream takes.
+	limited
 )
 
 // availability is what every choice asks before it sends a request to an upstream.
@@ -75,6 +78,8 @@
 		return leaving
 	case now < u.pausedUntil:
 		return paused
+	case u.limit.named && !u.hasPermit(now) && now < u.noPermitUntil:
+		return limited
 	}
 	return available
 }
@@ -85,6 +90,8 @@
 	LeavingBegan bool
 	PauseBegan   bool
 	PausedFor    daisygap.Millis
+	// Rate is the change of the rate that the upstream takes, or nil.
+	Rate *RateChange
 }
 
 // recordAvailability applies an upstream's notices; the caller holds the lock of the pool.
@@ -100,6 +107,9 @@
 		n.PausedFor = o.Pause + resumeSpread(u.hash^p.seed, o.Pause)
 		u.pausedUntil = max(u.pausedUntil, now+n.PausedFor)
 	}
+	if o.KnowsRate {
+		n.Rate = p.mergeRate(u, rateLimit{named: o.NamesRate, rate: o.Rate, sentAt: o.SentAt, heardAt: now}, now)
+	}
 	if (n.LeavingBegan || o.Pause > 0) && p.notices != nil {
 		p.notices.record(u)
 	}
--- a/internal/policy/placement/fleet.go
+++ b/internal/policy/placement/fleet.go
@@ -34,6 +34,10 @@
 	observations loadRing
 	shifts       shiftLimiter
 	notices      notices
+	arbiters     atomic.Pointer[arbiters]
+	// startedAt is when the fleet got its first upstreams.
+	startedAt daisygap.Millis
+	rateNews  rateNews
 }
 
 // Pool returns the pool with the given name, or nil.
@@ -67,6 +71,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.upstreams
+	if f.startedAt == 0 {
+		f.startedAt = now
+	}
 	f.upstreams = make(map[string]*Upstream, len(instances))
 	lists := make(map[string][]*Upstream)
 	for _, i := range instances {
@@ -88,7 +95,7 @@
 		if p == nil {
 			p = &Pool{
 				Region: f.Region, Domain: f.Domain, coldShareOf: f.coldShareOf, shifts: &f.shifts, observations: &f.observations,
-				largeLocalShare: 1, notices: &f.notices, seed: xxhash.Sum64String(f.Name),
+				largeLocalShare: 1, notices: &f.notices, rateNews: &f.rateNews, seed: xxhash.Sum64String(f.Name),
 			}
 			if h, known := f.hint.Pools[name]; known {
 				p.applyHint(h)
--- a/internal/policy/placement/hedge.go
+++ b/internal/policy/placement/hedge.go
@@ -49,6 +49,7 @@
 	if p.utilization[region] >= maxMissUtilization || !p.isHedgeWorthwhile(q.Route.Name) {
 		return Choice{}, false
 	}
+	q.PermitRequests = maxPermitRequests // an upstream that limits its rate gets no copies
 	warm, _, _ := p.candidates(q, now)
 	s := &p.buffers.search
 	*s = search{p: p, q: q, now: now, eligible: warm}
--- a/internal/policy/placement/locality.go
+++ b/internal/policy/placement/locality.go
@@ -52,9 +52,9 @@
 func (p *Pool) updateUtilization(now daisygap.Millis) (local, remote float64, both bool) {
 	load, slots := make(map[string]float64), make(map[string]float64)
 	for _, u := range p.upstreams {
-		if u.availability(now) == available && !u.isDown(now) && !u.isCold(now) {
+		if a := u.availability(now); (a == available || a == limited) && !u.isDown(now) && !u.isCold(now) {
 			load[u.Region] += u.load(now)
-			slots[u.Region] += float64(u.Slots)
+			slots[u.Region] += u.usableSlots()
 		}
 	}
 	p.utilization = make(map[string]float64, len(slots))
--- a/internal/policy/placement/outcome.go
+++ b/internal/policy/placement/outcome.go
@@ -33,4 +33,10 @@
 	// Leaving reports whether the upstream said that it is leaving, and Pause is how long it wants no requests in ms, or 0.
 	Leaving bool
 	Pause   daisygap.Millis
+	// KnowsRate reports whether the response says which rate of requests the upstream takes from all daemons together: Rate requests per
+	// second if NamesRate is set, or any rate. SentAt is when the request was sent.
+	KnowsRate bool
+	NamesRate bool
+	Rate      float64
+	SentAt    daisygap.Millis
 }
--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -22,6 +22,8 @@
 	maxWaitRatio = 0.7
 	// defaultRoundTrip is the assumed round trip time to another region in ms until a connection to that region was opened.
 	defaultRoundTrip = 70
+	// maxPermitRequests is the number of refused permits after which a request goes only to upstreams that need none.
+	maxPermitRequests = 2
 	// maxEjectedRatio is the largest fraction of the candidates that may be ejected for failing.
 	maxEjectedRatio = 0.4
 )
@@ -41,6 +43,9 @@
 	// Tried holds the addresses of the upstreams that earlier attempts used. A new upstream at the same address is left out as well,
 	// because a connection that was kept may still deliver the response to the earlier attempt.
 	Tried map[string]bool
+	// PermitRequests is the number of permits that were refused for the request. From maxPermitRequests on, the upstreams that need a
+	// permit are left out.
+	PermitRequests int
 }
 
 // Verdict is the reason for a choice. It appears in logs.
@@ -69,6 +74,8 @@
 	// Leaving means that the upstreams are about to stop, and Paused that they asked this daemon for a pause.
 	Leaving Verdict = "leaving"
 	Paused  Verdict = "paused"
+	// Limited means that the upstreams take no more requests than all daemons together send them.
+	Limited Verdict = "limited"
 	// Empty means that the pool has no upstreams.
 	Empty Verdict = "empty"
 	// Forbidden means that no upstream is in one of the route's allowed regions.
@@ -86,7 +93,9 @@
 	ReportAge daisygap.Millis
 	// RetryAfter is the time until a slot is expected to be free, for a refusal.
 	RetryAfter daisygap.Millis
-	// PassedOver is the number of upstreams that were left out because they are leaving or asked for a pause.
+	// NeedsPermit reports whether the upstream's arbiter must grant a permit before the request is sent.
+	NeedsPermit bool
+	// PassedOver is the number of upstreams that were left out because they are leaving, asked for a pause or limit their rate.
 	PassedOver int
 	// isOwner is set if the upstream owns the object in its region.
 	isOwner bool
@@ -112,6 +121,8 @@
 	shifts *shiftLimiter
 	// notices remembers what the processes of all pools announced.
 	notices *notices
+	// rateNews collects the upstreams whose rates change, for the other daemons.
+	rateNews *rateNews
 	// seed differs between daemons.
 	seed uint64
 	// observations holds the load observations to send to other daemons.
@@ -138,12 +149,18 @@
 // choiceBuffers holds the lists that a choice needs, so that it allocates none.
 type choiceBuffers struct {
 	warm, cold, healthy, owners []*Upstream
-	// passedOver counts the unavailable upstreams, and resumesAt is the end of the first pause among them.
+	// passedOver counts the unavailable upstreams, and resumesAt is the first time at which one of them becomes available.
 	passedOver int
 	resumesAt  daisygap.Millis
+	// limitedSlots holds, by region, the slots of the upstreams that this daemon gets no permit for.
+	limitedSlots []float64
+	// limited lists the upstreams that this daemon gets no permit for.
+	limited []*Upstream
 	// slots and best hold the slots and the best upstream for a query by region.
 	slots []float64
 	best  []*Upstream
+	// unlimited holds the best upstream by region that doesn't limit its rate.
+	unlimited []*Upstream
 	search
 }
 
@@ -181,7 +198,7 @@
 	for _, u := range list {
 		u.regionIndex = slices.Index(p.regions, u.Region)
 	}
-	p.buffers.best = make([]*Upstream, len(p.regions))
+	p.buffers.best, p.buffers.unlimited = make([]*Upstream, len(p.regions)), make([]*Upstream, len(p.regions))
 }
 
 // choiceOrder lists the ways to choose an upstream, in the order of preference.
@@ -198,6 +215,7 @@
 	c.PassedOver = p.buffers.passedOver
 	if c.Upstream != nil {
 		c.Upstream.inFlight++
+		c.NeedsPermit = c.Upstream.limit.named && !c.Upstream.usePermit(now)
 		p.shifts.record(c.Upstream.Region, now)
 	}
 	return c
@@ -211,7 +229,7 @@
 	warm, cold, verdict := p.candidates(q, now)
 	if len(warm) == 0 {
 		c := p.chooseCold(cold, verdict, now)
-		if c.Verdict == Paused {
+		if c.Verdict == Paused || c.Verdict == Limited {
 			// The callers come back one after the other.
 			c.RetryAfter += resumeSpread(q.ObjectHash^p.seed, c.RetryAfter)
 		}
@@ -235,6 +253,8 @@
 	verdict = Empty
 	warm, cold = p.buffers.warm[:0], p.buffers.cold[:0]
 	p.buffers.passedOver, p.buffers.resumesAt = 0, 0
+	p.buffers.limited = p.buffers.limited[:0]
+	p.buffers.limitedSlots = resize(p.buffers.limitedSlots, len(p.regions))
 	for _, u := range p.upstreams {
 		reason := u.availability(now)
 		switch {
@@ -249,10 +269,14 @@
 			p.buffers.passedOver++
 		case reason == paused:
 			verdict = Paused
-			p.buffers.passedOver++
-			if p.buffers.resumesAt == 0 || u.pausedUntil < p.buffers.resumesAt {
-				p.buffers.resumesAt = u.pausedUntil
+			p.passOver(u.pausedUntil)
+		case reason == limited, q.PermitRequests >= maxPermitRequests && u.limit.named, q.HasObject && !u.returns(q.ObjectHash, now):
+			if reason == limited {
+				p.buffers.limited = append(p.buffers.limited, u)
 			}
+			verdict = Limited
+			p.passOver(u.permitFrom(now))
+			p.buffers.limitedSlots[u.regionIndex] += float64(u.Slots)
 		case u.isDown(now):
 			verdict = Down
 		case u.isCold(now):
@@ -265,6 +289,14 @@
 	return p.withoutFailing(warm), cold, verdict
 }
 
+// passOver counts an upstream that is unavailable until a time.
+func (p *Pool) passOver(until daisygap.Millis) {
+	p.buffers.passedOver++
+	if p.buffers.resumesAt == 0 || until < p.buffers.resumesAt {
+		p.buffers.resumesAt = until
+	}
+}
+
 func regionAllowed(homes []string, region string) bool {
 	return len(homes) == 0 || slices.Contains(homes, region)
 }
--- a/internal/policy/placement/search.go
+++ b/internal/policy/placement/search.go
@@ -41,19 +41,30 @@
 	}
 	s.homeRegion = p.homeRegionOf(q, eligible)
 	s.owners = s.findOwners()
+	s.countMissed()
 	return s
 }
 
+// countMissed counts the query as demand at the upstream that would own its object if this daemon had a permit for it.
+func (s *search) countMissed() {
+	if s.q.PermitRequests > 0 || len(s.q.Tried) > 0 {
+		return
+	}
+	var missed *Upstream
+	for _, u := range s.p.buffers.limited {
+		if u.Region == s.homeRegion && (missed == nil || s.prefers(u, missed)) {
+			missed = u
+		}
+	}
+	if missed != nil && (len(s.owners) == 0 || s.prefers(missed, s.owners[0])) {
+		missed.demand++
+	}
+}
+
 // findOwners returns the object's owner of each region, the home region's first. For large responses in this daemon's own
 // region, the owner within its failure domain comes before that, so that they stay in the domain.
 func (s *search) findOwners() []*Upstream {
-	best := s.p.buffers.best
-	clear(best)
-	for _, u := range s.eligible {
-		if b := best[u.regionIndex]; b == nil || s.prefers(u, b) {
-			best[u.regionIndex] = u
-		}
-	}
+	best := s.bestByRegion()
 	list := s.p.buffers.owners[:0]
 	for _, u := range best {
 		if u != nil && u.Region == s.homeRegion {
@@ -72,6 +83,28 @@
 	return list
 }
 
+// bestByRegion returns the best upstream of each region. The objects of an upstream without a permit go to the best one that doesn't limit
+// its rate, if there is one: each object has one other owner then, which soon serves it fast as well.
+func (s *search) bestByRegion() []*Upstream {
+	best, unlimited := s.p.buffers.best, s.p.buffers.unlimited
+	clear(best)
+	clear(unlimited)
+	for _, u := range s.eligible {
+		if b := best[u.regionIndex]; b == nil || s.prefers(u, b) {
+			best[u.regionIndex] = u
+		}
+		if b := unlimited[u.regionIndex]; !u.limit.named && (b == nil || s.prefers(u, b)) {
+			unlimited[u.regionIndex] = u
+		}
+	}
+	for _, u := range s.p.buffers.limited {
+		if b := best[u.regionIndex]; b != nil && s.prefers(u, b) && unlimited[u.regionIndex] != nil {
+			best[u.regionIndex] = unlimited[u.regionIndex]
+		}
+	}
+	return best
+}
+
 // appendDomainOwner appends the object's owner within this daemon's failure domain.
 func (s *search) appendDomainOwner(list []*Upstream) []*Upstream {
 	var best *Upstream
@@ -100,7 +133,11 @@
 
 // slack returns the time in ms that a request may wait at an upstream and still meet its target latency.
 func (s *search) slack(u *Upstream, serviceTime float64) float64 {
-	return float64(s.q.Route.TargetLatency-s.q.Elapsed) - serviceTime - s.p.roundTrip(u)
+	slack := float64(s.q.Route.TargetLatency-s.q.Elapsed) - serviceTime - s.p.roundTrip(u)
+	if u.limit.named && !u.hasPermit(s.now) {
+		slack -= s.p.roundTrip(u) // for the permit
+	}
+	return slack
 }
 
 // isOnTime reports whether a request is expected to meet its target latency at an upstream.
@@ -145,7 +182,7 @@
 func (s *search) freeBeside(other *Upstream) *Upstream {
 	var best *Upstream
 	for _, u := range s.eligible {
-		if u.Address == other.Address || u.Region != other.Region || 2*u.load(s.now) > float64(u.Slots) || u.isSlow(s.now) {
+		if u.Address == other.Address || u.Region != other.Region || u.limit.named || 2*u.load(s.now) > float64(u.Slots) || u.isSlow(s.now) {
 			continue
 		}
 		if best == nil || s.prefers(u, best) {
@@ -195,7 +232,7 @@
 	}
 	var best *Upstream
 	for _, u := range s.eligible {
-		if u.Region != s.homeRegion || 2*u.load(s.now) > float64(u.Slots) || !s.isOnTime(u, s.missTime) {
+		if u.Region != s.homeRegion || u.limit.named || 2*u.load(s.now) > float64(u.Slots) || !s.isOnTime(u, s.missTime) {
 			continue
 		}
 		if best == nil || s.prefers(u, best) {
@@ -271,6 +308,8 @@
 		if slots[i] == 0 {
 			continue
 		}
+		// Upstreams without a permit count, so that objects don't change their home region with every permit.
+		slots[i] += p.buffers.limitedSlots[i]
 		if stays && region == p.Region {
 			return region
 		}
--- a/internal/policy/placement/shift.go
+++ b/internal/policy/placement/shift.go
@@ -126,6 +126,11 @@
 
 // record counts a request in a region.
 func (l *shiftLimiter) record(region string, now daisygap.Millis) {
+	l.add(region, now, 1)
+}
+
+// add adds a number of requests to the count of a region.
+func (l *shiftLimiter) add(region string, now daisygap.Millis, count float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now)
@@ -134,7 +139,7 @@
 	for len(*counts) <= i {
 		*counts = append(*counts, 0)
 	}
-	(*counts)[i]++
+	(*counts)[i] = max(0, (*counts)[i]+count)
 }
 
 // advance makes the slice of the given time the current one and clears the slices that it replaces.
--- a/internal/policy/placement/upstream.go
+++ b/internal/policy/placement/upstream.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"sync/atomic"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/daisygap/daisygap"
@@ -60,6 +62,17 @@
 	leaving bool
 	// pausedUntil is the end of the pause that the upstream asked this daemon for.
 	pausedUntil daisygap.Millis
+	// limit is the rate that the process takes from all daemons together, and noPermitUntil the time until which this daemon gets no
+	// permit to send to it.
+	limit         rateLimit
+	noPermitUntil daisygap.Millis
+	// allowance is the rate that this daemon may use without asking the upstream's arbiter.
+	allowance allowance
+	// demand is the number of requests that this daemon had for the upstream since it last requested permits.
+	demand int
+	// permits is used if this daemon is the upstream's arbiter, which is cached in arbiter.
+	permits permits
+	arbiter atomic.Pointer[arbiterChoice]
 	// connectFailures is the number of connection failures in a row.
 	connectFailures int
 	// nextColdRequest is the earliest time of this daemon's next request while the upstream is cold.
--- a/internal/policy/roster/roster.go
+++ b/internal/policy/roster/roster.go
@@ -156,6 +156,11 @@
 	return list
 }
 
+// Staying returns the heartbeats of the known daemons that didn't announce that they leave, sorted by name.
+func (r *Roster) Staying() []daisygap.GossipHeartbeat {
+	return slices.DeleteFunc(r.Known(), func(h daisygap.GossipHeartbeat) bool { return h.Leaving })
+}
+
 // Suspects returns up to count daemons that will count as dead soon, the soonest first, so that they can be contacted directly
 // before that.
 func (r *Roster) Suspects(count int, now daisygap.Millis) []daisygap.GossipHeartbeat {
