steer: a planned stop answers every request that it took

What callers saw: requests that a stopping host took in the first 0.45 of its grace period and that ran beyond 0.93 of it ended with EOF; dozens in each run of TestPlannedStopCutsNoRequest, with and without a second signal. Cause: the stop bounded when requests are taken and when the process ends, and nothing bounded when requests end.

The daemon now knows the time by which it must have answered (0.9 of the grace period). From the signal on it takes a request only if its deadline is before that time, or if three times the usual time of its route is; another one is refused at once with 503, reason stopping and Connection: close, before it reaches an upstream. Retries ask the same, and no second copies are sent. What still runs at 0.9 is given up and answered with 504, before connections are closed at 0.93.

--- a/internal/command/serve/steer.go
+++ b/internal/command/serve/steer.go
@@ -42,6 +42,9 @@
 	// cachedLookupShare is the fraction of the grace period during which new requests are still accepted from callers with
 	// cached look-ups.
 	cachedLookupShare = 0.45
+	// answerShare is the fraction of the grace period after which the requests in flight are given up, so that their callers still get
+	// an answer.
+	answerShare = 0.9
 	// drainDeadlineShare is the fraction of the grace period after which the drain ends and the process exits.
 	drainDeadlineShare = 0.93
 )
@@ -126,7 +129,7 @@
 	defer signal.Stop(signals)
 	<-signals
 	deadline := time.Now().Add(time.Duration(drainDeadlineShare * float64(grace.Duration())))
-	l.Daemon.Leave()
+	l.Daemon.Leave(l.Daemon.Clock.Now() + daisygap.Millis(answerShare*float64(grace)))
 	select {
 	case <-signals:
 	case <-time.After(time.Duration(cachedLookupShare * float64(grace.Duration()))):
--- a/internal/daemon/steer/control_test.go
+++ b/internal/daemon/steer/control_test.go
@@ -230,7 +230,7 @@
 		})
 	}
 	time.Sleep(300 * time.Millisecond)
-	d.Listeners.Daemon.Leave()
+	d.Listeners.Daemon.Leave(ts.Clock.Now() + 5_000)
 	if d.Listeners.Daemon.Ready() {
 		t.Error("leaving daemon reports ready")
 	}
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -30,6 +30,10 @@
 	inFlight      sync.WaitGroup
 	inFlightCount atomic.Int64
 	stopping      atomic.Bool
+	// stopTime is the time by which the requests of a stopping daemon must be answered, and answerCtx ends then.
+	stopTime     atomic.Int64
+	answerCtx    context.Context
+	cancelAnswer context.CancelFunc
 
 	snapshot atomic.Pointer[snapshot]
 	fleet    placement.Fleet
@@ -54,6 +58,7 @@
 // Run starts the control loops, which end when the context does.
 func (d *Daemon) Run(ctx context.Context) {
 	d.ctx = ctx
+	d.answerCtx, d.cancelAnswer = context.WithCancel(ctx)
 	s := d.Settings
 	address := s.PeerAddress
 	if s.Steering.AdvertiseAddress != "" {
@@ -89,9 +94,12 @@
 	return d.snapshot.Load() != nil && !d.stopping.Load()
 }
 
-// Leave removes the daemon from look-ups: it notifies its peers at once and deletes its entry in the store.
-func (d *Daemon) Leave() {
+// Leave removes the daemon from look-ups: it notifies its peers at once and deletes its entry in the store. From now on it takes only
+// requests that can end by the given time, at which those in flight are given up and answered.
+func (d *Daemon) Leave(by daisygap.Millis) {
+	d.stopTime.Store(int64(by))
 	d.stopping.Store(true)
+	time.AfterFunc((by - d.Clock.Now()).Duration(), d.cancelAnswer)
 	d.Log.Event("stop", daisygap.Fields{"in_flight": d.inFlightCount.Load()})
 	d.loops.Go(d.announceLeave)
 }
--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -74,8 +74,13 @@
 	if !e.matchRoute() || !e.readBody() {
 		return
 	}
+	if !e.endsBeforeStop(d.Clock.Now()) {
+		e.refuse(http.StatusServiceUnavailable, daisygap.ReasonStopping, placement.Choice{RetryAfter: stoppingRetryAfter})
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), (e.deadline - d.Clock.Now()).Duration())
 	defer cancel()
+	defer context.AfterFunc(d.answerCtx, cancel)()
 	e.ctx = ctx
 	d.budgets.deposit(e.pool, e.started)
 	e.forward()
@@ -274,7 +279,7 @@
 		return false
 	case float64(e.deadline-now) < minRemainingTarget*float64(e.route.TargetLatency):
 		return false
-	case e.d.crashes.blocked(e.fingerprint, now):
+	case e.d.crashes.blocked(e.fingerprint, now), !e.endsBeforeStop(now):
 		return false
 	}
 	if e.reached > 0 && !e.d.budgets.tryWithdraw(e.pool, now) {
@@ -287,14 +292,14 @@
 }
 
 // fail ends the request: with the fallback response if there is one, with 504 or 502 if an upstream may have executed the
-// request, and otherwise with 503.
+// request, depending on whether its time is over, and otherwise with 503.
 func (e *exchange) fail(reason daisygap.Reason, c placement.Choice) {
 	switch {
 	case e.in.Context().Err() != nil:
 		e.logEnd("caller left", nil)
 	case e.fallback != nil:
 		e.deliver(e.fallback)
-	case e.possibleRuns > 0 && errors.Is(e.ctx.Err(), context.DeadlineExceeded):
+	case e.possibleRuns > 0 && e.ctx.Err() != nil:
 		e.refuse(http.StatusGatewayTimeout, daisygap.ReasonExpired, c)
 	case e.possibleRuns > 0:
 		e.refuse(http.StatusBadGateway, reason, c)
--- a/internal/daemon/steer/trace_test.go
+++ b/internal/daemon/steer/trace_test.go
@@ -153,7 +153,7 @@
 	ts.setFault(instance.Silent, "stock")
 	ts.must(ts.Configure(routes))
 	ts.await("configuration version 6", func() bool { return strings.Contains(log.text(), `"version":6`) })
-	ts.daemons[0].Listeners.Daemon.Leave()
+	ts.daemons[0].Listeners.Daemon.Leave(ts.daemons[0].Listeners.Daemon.Clock.Now() + 5_000)
 	got := ts.sendRequest(newClient(t), ts.daemons[0], http.MethodGet, "/brief/1", "")
 	if got.status != http.StatusGatewayTimeout {
 		t.Fatalf("status %d", got.status)
--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -425,6 +425,22 @@
 	return t
 }
 
+// UsualTime returns the usual time of a route's requests at the most distant upstream that doesn't own their objects, and whether it is
+// known.
+func (p *Pool) UsualTime(route string) (daisygap.Millis, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.serviceTimes[route]
+	if t == nil || t.hit.count+t.miss.count == 0 {
+		return 0, false
+	}
+	longest := 0.0
+	for _, region := range p.regions {
+		longest = max(longest, p.roundTripTo(region))
+	}
+	return daisygap.Millis(max(t.hit.median, t.miss.median) + longest), true
+}
+
 // roundTrip returns the round trip time to an upstream in ms.
 func (p *Pool) roundTrip(u *Upstream) float64 {
 	return p.roundTripTo(u.Region)
--- a/internal/policy/placement/rate.go
+++ b/internal/policy/placement/rate.go
@@ -85,7 +85,7 @@
 // single permits from a token bucket.
 type permits struct {
 	// from is the list of daemons by which this one was the arbiter at the last request.
-	from *arbiters
+	from       *arbiters
 	tokens     float64
 	refilledAt daisygap.Millis
 	// fullFrom is the time from which on the whole rate is granted.
--- a/refusal.go
+++ b/refusal.go
@@ -26,6 +26,7 @@
 	ReasonUpstreamFailed  Reason = "upstream_failed"
 	ReasonUpstreamShed    Reason = "upstream_shed"
 	ReasonSlow            Reason = "slow"
+	ReasonStopping        Reason = "stopping"
 )
 
 // RunState states whether a refused request may have been run by an upstream.
