--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -153,5 +153,8 @@
 			}
 		}
 		d.updateDaemonNames()
+		limited, lent := d.fleet.Limits(now)
+		limitedGauge.set(uint64(limited))
+		lentGauge.set(uint64(lent))
 	}
 }
--- a/internal/daemon/steer/permit.go
+++ b/internal/daemon/steer/permit.go
@@ -24,6 +24,8 @@
 	permitsRefused = metrics.NewCounter(`daisygap_permits_total{result="refused"}`)
 	permitsFailed  = metrics.NewCounter(`daisygap_permits_total{result="failed"}`)
 	limitsByAnswer = metrics.NewCounter(`daisygap_upstream_limits_total{source="answer"}`)
+	limitedGauge   atomicGauge
+	lentGauge      atomicGauge
 	limitsByPeer   = metrics.NewCounter(`daisygap_upstream_limits_total{source="peer"}`)
 )
 
--- a/internal/policy/placement/arbiter.go
+++ b/internal/policy/placement/arbiter.go
@@ -167,19 +167,21 @@
 	return list
 }
 
-// LimitedUpstreams returns the number of upstreams with a limited rate.
-func (f *Fleet) LimitedUpstreams() int {
-	n := 0
+// Limits returns the number of upstreams with a limited rate, and the sum of the rates that were lent to this daemon.
+func (f *Fleet) Limits(now daisygap.Millis) (upstreams int, lent float64) {
 	for _, p := range f.Pools() {
 		p.mu.Lock()
 		for _, u := range p.upstreams {
 			if u.limit.named {
-				n++
+				upstreams++
+			}
+			if now < u.allowance.until {
+				lent += u.allowance.rate
 			}
 		}
 		p.mu.Unlock()
 	}
-	return n
+	return upstreams, lent
 }
 
 // rateNews holds the upstreams whose rates changed lately, by their IDs in gossip messages, and when this daemon learned of it.
