--- a/internal/daemon/steer/limit_test.go
+++ b/internal/daemon/steer/limit_test.go
@@ -83,3 +83,58 @@
 		}
 	}
 }
+
+// TestLimitCountsOnEveryStatus has a server name its rate with success, failure and refusal, and with values that name none.
+func TestLimitCountsOnEveryStatus(t *testing.T) {
+	for _, tt := range []struct {
+		fault   instance.Fault
+		value   string
+		limited bool
+	}{
+		{instance.None, "0", true},
+		{instance.Fail, "0", true},
+		{instance.Shed, "0", true},
+		{instance.NoStamp, "0", true},
+		{instance.None, "-1", false},
+		{instance.None, "many", false},
+	} {
+		t.Run(string(tt.fault)+" "+tt.value, func(t *testing.T) {
+			t.Parallel()
+			ts := start(t, "n-1")
+			limited := ts.servers["n-1-stock"]
+			var arrivals arrivalTimes
+			limited.OnArrival = arrivals.add
+			limited.SetFault(tt.fault)
+			limited.SetLimit(tt.value)
+			for i := range 60 {
+				ts.sendRequest(newClient(t), ts.daemons[0], http.MethodGet, fmt.Sprintf("/reads/%d", i), "")
+			}
+			// A server without a rate gets its first request, and one permit to show when it takes more again.
+			if n := arrivals.busiestWindow(time.Time{}, time.Minute); tt.limited && n > 2 || !tt.limited && n < 5 {
+				t.Errorf("%d requests reached the server, limited: %t", n, tt.limited)
+			}
+		})
+	}
+}
+
+// TestLimitEndsWithResponseThatLeavesItOut guards against a server that gets so few requests that it can't show that its limit is over.
+func TestLimitEndsWithResponseThatLeavesItOut(t *testing.T) {
+	t.Parallel()
+	ts := start(t, "n-1", "s-1")
+	limited := ts.servers["n-1-stock"]
+	var arrivals arrivalTimes
+	limited.OnArrival = arrivals.add
+	limited.SetLimit("0")
+	ts.sendUntil(time.Now().Add(2*time.Second), 4)
+	if n := arrivals.busiestWindow(time.Time{}, time.Minute); n > 4 {
+		t.Errorf("%d requests reached a server that takes none", n)
+	}
+	limited.SetLimit("")
+	// One request in five seconds shows that the limit is over.
+	ts.sendUntil(time.Now().Add(8*time.Second), 4)
+	from := time.Now()
+	ts.sendUntil(from.Add(time.Second), 4)
+	if n := arrivals.busiestWindow(from, time.Second); n < 20 {
+		t.Errorf("%d requests reached the server in a second after its limit was over, want at least 20", n)
+	}
+}
--- a/internal/soak/fault/faults.go
+++ b/internal/soak/fault/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -34,6 +35,7 @@
 	{"caller link", 3, func(r *Run) { r.impairDaemonLink(func(h *host) *link.Proxy { return h.callerLink }) }},
 	{"server link", 5, (*Run).impairServerLink},
 	{"server fault", 9, (*Run).failServer},
+	{"limit", 5, (*Run).limitServers},
 	{"crash", 5, (*Run).crashServer},
 	{"drain", 6, (*Run).drainServer},
 	{"evacuate", 3, (*Run).evacuateDomain},
@@ -220,6 +222,22 @@
 	})
 }
 
+// limitServers makes some servers name a rate for a while.
+func (r *Run) limitServers() {
+	rates := []float64{0, 1, 4, 12}
+	for range 1 + r.random.IntN(3) {
+		s, rate, duration := r.deployment.randomServer(r.random), rates[r.random.IntN(len(rates))], r.randomDuration(5*time.Second, 12*time.Second)
+		r.logf("%s names a rate of %g for %v", s.ID, rate, duration)
+		r.group.Go(func() {
+			r.deployment.checker.ServerLimited(s.tracked, rate)
+			s.SetLimit(strconv.FormatFloat(rate, 'f', -1, 64))
+			time.Sleep(duration)
+			s.SetLimit("")
+			r.deployment.checker.ServerLimited(s.tracked, -1)
+		})
+	}
+}
+
 // addressReuseDelay is the minimum time from the crash of a server to the reuse of its address by a server of another
 // pool.
 const addressReuseDelay = 2 * time.Second
--- a/internal/soak/promise/checker.go
+++ b/internal/soak/promise/checker.go
@@ -95,6 +95,7 @@
 	drainingSince time.Time
 	arrivals      []time.Time
 	notices       notices
+	limit         limit
 }
 
 // Checker records all requests of a run and their outcomes, and collects violations of the guarantees. Set the fields
@@ -135,6 +136,8 @@
 	at     time.Time
 	// leaving reports whether the response says that the server is leaving.
 	leaving bool
+	// limited reports whether the response names a rate.
+	limited bool
 }
 
 // generation is when the store acknowledged the addition and the removal of a temporary route.
@@ -197,6 +200,7 @@
 	c.checkDestination(s, r, now)
 	c.checkNotices(s, r, a.Executed, now)
 	c.checkColdRate(s, now)
+	c.checkLimit(s, r, now)
 	if a.Executed {
 		c.checkExecution(s, r, a, now)
 	}
@@ -204,7 +208,7 @@
 
 // checkExecution checks that a server may execute a request, and that the request arrived as it was sent.
 func (c *Checker) checkExecution(s *Server, r *requestRecord, a instance.Arrival, now time.Time) {
-	r.executions = append(r.executions, &execution{server: s, at: now, leaving: s.notices.leaving})
+	r.executions = append(r.executions, &execution{server: s, at: now, leaving: s.notices.leaving, limited: !s.limit.named.IsZero()})
 	switch {
 	case a.Path != r.request.Path || a.Body != r.request.Body:
 		c.addViolation("UNASKED", "request %s was modified on its way to the server: path %s", a.ID, a.Path)
@@ -314,6 +318,7 @@
 	if result.Complete {
 		c.checkNotFound(r)
 		r.noteDeparture()
+		r.noteLimit()
 	}
 }
 
--- a/internal/soak/promise/checker_test.go
+++ b/internal/soak/promise/checker_test.go
@@ -273,3 +273,34 @@
 		t.Errorf("(-want +got):\n%s", diff)
 	}
 }
+
+// TestLimitIsChecked sends a server that names its rate one request more than it may get, from a daemon that knows the rate or doesn't.
+func TestLimitIsChecked(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		count    int
+		informed bool
+		want     int
+	}{{"allowed", 11, true, 0}, {"one more", 12, true, 1}, {"daemon that doesn't know the rate", 12, false, 0}} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newScenario()
+			s.ServerLimited(s.stock, 1)
+			if tt.informed {
+				s.send("first", read, 0)
+				s.execute("first", s.stock)
+				s.complete("first", http.StatusOK)
+			}
+			s.stock.limit.named = s.stock.limit.named.Add(-limitNotice)
+			for key, at := range s.stock.limit.informed {
+				s.stock.limit.informed[key] = at.Add(-informedDelay)
+			}
+			for i := range tt.count {
+				s.send(fmt.Sprint(i), read, 0)
+				s.execute(fmt.Sprint(i), s.stock)
+			}
+			if got := s.Violations(); len(got) != tt.want || tt.want > 0 && !strings.HasPrefix(got[0], "LIMIT") {
+				t.Errorf("violations %q, want %d", got, tt.want)
+			}
+		})
+	}
+}
