--- a/internal/policy/placement/departure.go
+++ b/internal/policy/placement/departure.go
@@ -108,7 +108,7 @@
 		u.pausedUntil = max(u.pausedUntil, now+n.PausedFor)
 	}
 	if o.KnowsRate {
-		n.Rate = p.mergeRate(u, rateLimit{named: o.NamesRate, rate: o.Rate, sentAt: o.SentAt, heardAt: now}, now)
+		n.Rate = p.mergeRate(u, rateLimit{named: o.NamesRate, rate: o.Rate, sentAt: o.SentAt, receivedAt: now}, now)
 	}
 	if (n.LeavingBegan || o.Pause > 0) && p.notices != nil {
 		p.notices.record(u)
--- a/internal/policy/placement/rate_test.go
+++ b/internal/policy/placement/rate_test.go
@@ -17,16 +17,16 @@
 		named    bool
 		rate     float64
 	}{
-		{rateLimit{sentAt: 10, heardAt: 20}, false, 0},
-		{rateLimit{named: true, rate: 5, sentAt: 30, heardAt: 60}, true, 5},
+		{rateLimit{sentAt: 10, receivedAt: 20}, false, 0},
+		{rateLimit{named: true, rate: 5, sentAt: 30, receivedAt: 60}, true, 5},
 		// These were sent before the response that names the rate arrived, so they may be older.
-		{rateLimit{sentAt: 25, heardAt: 70}, true, 5},
-		{rateLimit{sentAt: 59, heardAt: 80}, true, 5},
-		{rateLimit{named: true, rate: 9, sentAt: 20, heardAt: 90}, true, 5},
-		{rateLimit{named: true, rate: 7, sentAt: 61, heardAt: 95}, true, 7},
-		{rateLimit{sentAt: 95, heardAt: 120}, false, 0},
-		{rateLimit{named: true, rate: 7, sentAt: 90, heardAt: 130}, false, 0},
-		{rateLimit{named: true, rate: 0, sentAt: 140, heardAt: 150}, true, 0},
+		{rateLimit{sentAt: 25, receivedAt: 70}, true, 5},
+		{rateLimit{sentAt: 59, receivedAt: 80}, true, 5},
+		{rateLimit{named: true, rate: 9, sentAt: 20, receivedAt: 90}, true, 5},
+		{rateLimit{named: true, rate: 7, sentAt: 61, receivedAt: 95}, true, 7},
+		{rateLimit{sentAt: 95, receivedAt: 120}, false, 0},
+		{rateLimit{named: true, rate: 7, sentAt: 90, receivedAt: 130}, false, 0},
+		{rateLimit{named: true, rate: 0, sentAt: 140, receivedAt: 150}, true, 0},
 	}
 	for i, step := range steps {
 		l.merge(step.response)
@@ -179,7 +179,7 @@
 	return most
 }
 
-// TestRateOfAllDaemonsIsBounded plays daemons that restart, freeze, are cut off and hear late, at an upstream with a limited rate, and
+// TestRateOfAllDaemonsIsBounded plays daemons that restart, freeze, are cut off and learn of it late, at an upstream with a limited rate, and
 // counts the requests of those that know the rate.
 func TestRateOfAllDaemonsIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -279,7 +279,7 @@
 }
 
 func BenchmarkPermitOfAllowance(b *testing.B) {
-	u := &Upstream{limit: rateLimit{named: true, rate: 1e9, heardAt: 1}, allowance: allowance{rate: 1e9, until: 1 << 60}}
+	u := &Upstream{limit: rateLimit{named: true, rate: 1e9, receivedAt: 1}, allowance: allowance{rate: 1e9, until: 1 << 60}}
 	b.ReportAllocs()
 	for n := range b.N {
 		if u.availability(daisygap.Millis(n)) == available {
--- a/internal/policy/placement/times.go
+++ b/internal/policy/placement/times.go
@@ -1,6 +1,10 @@
 package placement
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/daisygap/daisygap"
+)
 
 // recentTimesSize is the number of service times that a median is taken of. It is odd, so that the median is one of them.
 const recentTimesSize = 15
@@ -36,3 +40,55 @@
 		r.record(ms, false)
 	}
 }
+
+// serviceTimes holds the service times of a route in ms.
+type serviceTimes struct {
+	// hit is for requests at the object's owner, which has usually served the object lately, and miss for all others.
+	hit  recentTimes
+	miss recentTimes
+	// target is the route's target latency.
+	target float64
+	// hedgeGain is the moving average of the fraction of second copies that were answered before the first copy, and
+	// hedgesSkipped the number of second copies in a row that were not sent because that fraction is low.
+	hedgeGain     float64
+	hedgesSkipped int
+}
+
+// updateMean updates an exponentially weighted moving average. With onlyDown, values that would raise it are ignored.
+func updateMean(mean *float64, value float64, onlyDown bool) {
+	switch {
+	case onlyDown && (*mean == 0 || value >= *mean):
+	case *mean == 0:
+		*mean = value
+	default:
+		*mean += serviceTimeWeight * (value - *mean)
+	}
+}
+
+func (p *Pool) serviceTimesOf(route string) *serviceTimes {
+	t := p.serviceTimes[route]
+	if t == nil {
+		if p.serviceTimes == nil {
+			p.serviceTimes = make(map[string]*serviceTimes)
+		}
+		t = &serviceTimes{hedgeGain: initialHedgeGain}
+		p.serviceTimes[route] = t
+	}
+	return t
+}
+
+// UsualTime returns the usual time of a route's requests at the most distant upstream that doesn't own their objects, and whether it is
+// known.
+func (p *Pool) UsualTime(route string) (daisygap.Millis, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.serviceTimes[route]
+	if t == nil || t.hit.count+t.miss.count == 0 {
+		return 0, false
+	}
+	longest := 0.0
+	for _, region := range p.regions {
+		longest = max(longest, p.roundTripTo(region))
+	}
+	return daisygap.Millis(max(t.hit.median, t.miss.median) + longest), true
+}
