entry: a stopping daemon announces the end of kept connections

Cause, as far as it is traced: the daemon with domain leases left kept connections open through the whole linger and closed them all at its end, so that a request could cross the close; the daemon on the platform announces it since long. Both of its servers now answer with Connection: close once the daemon stops. The copy of headers keeps a Connection header that the message had before, so that large responses of the platform's daemon announce the close as well; deliver had a copy of that logic of its own.

--- a/internal/adapter/forward/header.go
+++ b/internal/adapter/forward/header.go
@@ -13,12 +13,17 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// CopyHeaders copies all headers but the hop-by-hop ones. The values are shared with the source.
+// CopyHeaders copies all headers but the hop-by-hop ones. The values are shared with the source. A Connection header that the message had
+// before stays.
 func CopyHeaders(to, from http.Header) {
+	own, hasOwn := to["Connection"]
 	for name, values := range from {
 		to[name] = values
 	}
 	DropHopByHop(to)
+	if hasOwn {
+		to["Connection"] = own
+	}
 }
 
 // DropHopByHop removes the hop-by-hop headers, including those that the Connection header names.
--- a/internal/daemon/entry/listeners.go
+++ b/internal/daemon/entry/listeners.go
@@ -61,8 +61,8 @@
 func (ls *Listeners) Run() {
 	d := ls.Daemon
 	lookup := &caller.Lookup{Table: d.Table, Refuse: d.RefuseLookup}
-	ls.caller = newServer(callerHandler(lookup, d.ServeCaller))
-	ls.forward = newServer(http.HandlerFunc(d.ServeForwarded))
+	ls.caller = newServer(ls.closesWhenStopping(callerHandler(lookup, d.ServeCaller)))
+	ls.forward = newServer(ls.closesWhenStopping(http.HandlerFunc(d.ServeForwarded)))
 	operatorServer := &operator.Server{Operations: d, Token: d.Settings.Token, Pprof: d.Settings.Pprof}
 	ls.operator = newServer(operatorServer.Handler())
 	ls.peer = &peer.Server{Service: d, Log: d.Log.With("peer")}
@@ -89,6 +89,17 @@
 	}
 }
 
+// closesWhenStopping returns a handler whose responses end their connections once the daemon stops, so that few kept connections are left
+// on which a request could cross the close.
+func (ls *Listeners) closesWhenStopping(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if ls.Daemon.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // callerHandler routes look-ups to their handler and everything else to the request handler.
 func callerHandler(lookup http.Handler, serve http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/daemon/steer/deliver.go
+++ b/internal/daemon/steer/deliver.go
@@ -13,12 +13,8 @@
 // deliver writes a buffered response to the caller.
 func (e *exchange) deliver(a *attempt) {
 	h := e.w.Header()
-	connection := h.Get("Connection")
 	forward.CopyHeaders(h, a.res.Header)
 	e.d.Protocol.HideUpstreamHead(h)
-	if connection != "" {
-		h.Set("Connection", connection)
-	}
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil
 	}
