--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -22,7 +22,7 @@
 	maxWaitRatio = 0.7
 	// defaultRoundTrip is the assumed round trip time to another region in ms until a connection to that region was opened.
 	defaultRoundTrip = 70
-	// maxPermitRequests is the number of refused permits after which a request goes only to upstreams that need none.
+	// maxPermitRequests is the number of single permits that are requested for a request, after which it goes only to upstreams that need none.
 	maxPermitRequests = 2
 	// maxEjectedRatio is the largest fraction of the candidates that may be ejected for failing.
 	maxEjectedRatio = 0.4
@@ -43,8 +43,8 @@
 	// Tried holds the addresses of the upstreams that earlier attempts used. A new upstream at the same address is left out as well,
 	// because a connection that was kept may still deliver the response to the earlier attempt.
 	Tried map[string]bool
-	// PermitRequests is the number of permits that were refused for the request. From maxPermitRequests on, the upstreams that need a
-	// permit are left out.
+	// PermitRequests is the number of single permits that were requested for the request so far. From maxPermitRequests on, the upstreams
+	// that need one are left out.
 	PermitRequests int
 }
 
