--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -303,3 +303,83 @@
 	}
 	return false
 }
+
+const (
+	// pausing is the number of clients that pause in a long body, pauseBytes what they send before, and pause how long they stay
+	// idle: four fifths of idle_timeout at most.
+	pausing    = 30
+	longBody   = 2 << 20
+	pauseBytes = 3 << 19
+	pause      = 10 * time.Second
+	// unanswered is the time after a route's timeout by which a request must have its final answer.
+	unanswered = 500 * time.Millisecond
+)
+
+// pausedUploads has clients pause within a long body, while others send short orders to the same daemon.
+func pausedUploads(r *rig, trouble bool) (bool, error) {
+	for i := range 2 {
+		zone := []string{"n-1", "n-2"}[i%2]
+		if err := r.addServer(&server{id: fmt.Sprintf("desk-%d", i), service: "desk", zone: zone, slots: 5, queue: 15, work: orderWork}); err != nil {
+			return false, err
+		}
+	}
+	const timeout = 2 * time.Second
+	if err := r.configure(routeRow{"orders", "/orders/", "unsafe", "desk", "2000ms", "800ms", 2}); err != nil {
+		return false, err
+	}
+	daemons, err := r.startSite()
+	if err != nil {
+		return false, err
+	}
+	d := daemons[0]
+	order := func(n int, body string) request {
+		o := fmt.Sprintf("object-%d", n%20)
+		return request{method: http.MethodPost, path: "/orders/" + o, object: o, body: body, deadline: 2500 * time.Millisecond}
+	}
+	for n := range 40 {
+		if a := r.once(d, order(n, "order")); !a.served() {
+			return false, fmt.Errorf("the usual traffic isn't served: %s", a)
+		}
+	}
+	var group sync.WaitGroup
+	answers := make([]answer, pausing)
+	began := time.Now()
+	for i := range pausing {
+		group.Go(func() {
+			c, err := r.connect(d)
+			if err != nil {
+				r.note("client: no connection: %v", err)
+				return
+			}
+			defer c.close()
+			q := order(i, strings.Repeat("x", longBody))
+			if trouble {
+				c.pauseAfter, c.pause = pauseBytes, pause
+			}
+			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+			answers[i] = c.send(q, false)
+		})
+	}
+	refused, others := 0, 0
+	for n := 0; time.Since(began) < pause; n++ {
+		a := r.once(d, order(n, "order"))
+		if time.Since(began) > timeout+time.Second {
+			others++
+			if !a.served() {
+				refused++
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	group.Wait()
+	late := 0
+	for _, a := range answers {
+		if a.ended.Sub(a.sent) > timeout+unanswered {
+			late++
+			r.note("CONFIG: %s has no final answer %d ms after its route's timeout", a.id, unanswered.Milliseconds())
+		}
+	}
+	r.note("%d of %d requests with long bodies had no final answer in time", late, pausing)
+	r.note("meanwhile %d of %d short orders of other clients were not served", refused, others)
+	return late < 8 || 4*late <= pausing, nil
+}
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -53,6 +53,9 @@
 	d   *daemon
 	tcp *net.TCPConn
 	in  *bufio.Reader
+	// pauseAfter is the number of bytes of a body after which the client pauses for a time.
+	pauseAfter int
+	pause      time.Duration
 }
 
 func (r *rig) connect(d *daemon) (*conn, error) {
@@ -79,8 +82,10 @@
 	}
 	a.sent = time.Now()
 	c.r.note("client: %s %s %s sent to %s, time budget %d ms", a.id, q.method, q.path, c.d.name, q.deadline.Milliseconds())
-	_ = c.tcp.SetDeadline(a.sent.Add(q.deadline + time.Second))
-	if _, a.err = io.WriteString(c.tcp, text+"\r\n"+q.body); a.err == nil {
+	_ = c.tcp.SetDeadline(a.sent.Add(q.deadline + c.pause + time.Second))
+	if c.pause > 0 {
+		a.err = c.sendPaused(&a, text+"\r\n", q)
+	} else if _, a.err = io.WriteString(c.tcp, text+"\r\n"+q.body); a.err == nil {
 		if halfClose {
 			timer := time.AfterFunc(halfCloseDelay, func() {
 				c.r.note("client: %s closes its sending side", a.id)
@@ -95,6 +100,29 @@
 	return a
 }
 
+// sendPaused sends a request with a pause in its body. The client reads meanwhile, and ends the pause when it has an answer.
+func (c *conn) sendPaused(a *answer, head string, q request) error {
+	if _, err := io.WriteString(c.tcp, head+q.body[:c.pauseAfter]); err != nil {
+		return err
+	}
+	c.r.note("client: %s pauses after %d bytes of its body", a.id, c.pauseAfter)
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		c.read(a, q.method)
+	}()
+	select {
+	case <-answered:
+		return a.err
+	case <-time.After(c.pause):
+	}
+	c.r.note("client: %s goes on", a.id)
+	// The daemon may have closed the connection; the answer shows it.
+	_, _ = io.WriteString(c.tcp, q.body[c.pauseAfter:])
+	<-answered
+	return a.err
+}
+
 func (c *conn) read(a *answer, method string) {
 	res, err := http.ReadResponse(c.in, &http.Request{Method: method})
 	if err != nil {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -20,6 +20,7 @@
 	"encoded-slash": encodedSlash,
 	"crasher":       crasher,
 	"bare-refusal":  bareRefusal,
+	"paused-upload": pausedUploads,
 }
 
 // longest is the time after which a case is given up.
