--- a/gossip.go
+++ b/gossip.go
@@ -20,10 +20,35 @@
 	StoreLost bool `json:"d,omitempty"`
 }
 
-// CrashReport reports that the process of an upstream ended while it ran a request.
+// Process names one process of an upstream. A process that starts again under the same ID has another start time.
+type Process struct {
+	ID string `json:"i"`
+	// StartTime is the Unix time of the process's start in milliseconds.
+	StartTime int64 `json:"s,omitempty"`
+}
+
+// CrashReport reports that an upstream closed the connection of a request before it sent any byte of a response.
 type CrashReport struct {
+	Fingerprint uint64  `json:"p"`
+	Process     Process `json:"u"`
+	// Host is the daemon that sent the request. Sent and Broken are times on its clock: of the request, and of the end of its
+	// connection.
+	Host   string `json:"h"`
+	Sent   Millis `json:"b"`
+	Broken Millis `json:"e"`
+	// Age is the time since Broken when the message was sent.
+	Age Millis `json:"a"`
+	// Ended reports whether the process is known to have ended, so that the request may have crashed it.
+	Ended bool `json:"d,omitempty"`
+	// Alone reports whether no other suspected request ran at the process.
+	Alone bool `json:"o,omitempty"`
+}
+
+// AnswerReport reports that an upstream answered a suspected request.
+type AnswerReport struct {
 	Fingerprint uint64 `json:"p"`
-	Instance    string `json:"i"`
+	// SentAge is the time since the request was sent.
+	SentAge Millis `json:"q"`
 }
 
 // LoadObservation is the load of an upstream as one daemon observed it.
@@ -78,6 +103,9 @@
 type Gossip struct {
 	Heartbeats []GossipHeartbeat `json:"b"`
 	Crashes    []CrashReport     `json:"x,omitempty"`
+	Answers    []AnswerReport    `json:"w,omitempty"`
+	// AllCrashes asks for all reports that the receiver holds, and not only for the recent ones.
+	AllCrashes bool              `json:"q,omitempty"`
 	Loads      []LoadObservation `json:"l,omitempty"`
 	Rates      []RateReport      `json:"t,omitempty"`
 }
--- a/internal/adapter/upstream/client.go
+++ b/internal/adapter/upstream/client.go
@@ -93,6 +93,15 @@
 	return nil, daisygap.WrapError("send", r.URL.Host, errors.Join(class, err))
 }
 
+// Probe opens a connection to an address and closes it.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	conn, err := c.transport.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return daisygap.WrapError("probe", address, err)
+	}
+	return conn.Close()
+}
+
 // preventReplay prevents net/http from sending a request again after the other side closed a reused connection. The package
 // does so by itself for idempotent methods and for every request with an idempotency key, if the request has no body or one
 // that can be rewound.
--- a/internal/command/operate/trace.go
+++ b/internal/command/operate/trace.go
@@ -112,7 +112,10 @@
 		return logLine{}, false
 	}
 	var fields map[string]any
-	if json.Unmarshal(data[start:], &fields) != nil {
+	d := json.NewDecoder(bytes.NewReader(data[start:]))
+	// A number prints as it was logged.
+	d.UseNumber()
+	if d.Decode(&fields) != nil || d.More() {
 		return logLine{}, false
 	}
 	popField := func(name string) string {
@@ -127,10 +130,10 @@
 	return l, err == nil && l.event != ""
 }
 
-// requestTrace returns the events of a request in time order, and the events of the same daemons that give its context, from
-// contextWindow before its first event to its last one.
+// requestTrace returns the events of a request in time order, those of any daemon on crashes of upstreams under copies of it, and the
+// events of the same daemons that give its context, from contextWindow before its first event to its last one.
 func requestTrace(id string, lines []logLine) []logLine {
-	hosts, upstreams := make(map[string]bool), make(map[string]bool)
+	hosts, upstreams, fingerprints := make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	var first, last time.Time
 	for _, l := range lines {
 		if l.fields["id"] != id {
@@ -140,6 +143,9 @@
 		if u, ok := l.fields["upstream"].(string); ok {
 			upstreams[u] = true
 		}
+		if f, ok := l.fields["fingerprint"].(string); ok {
+			fingerprints[f] = true
+		}
 		if first.IsZero() || l.time.Before(first) {
 			first = l.time
 		}
@@ -151,6 +157,9 @@
 		if l.fields["id"] == id {
 			return false
 		}
+		if f, ok := l.fields["fingerprint"].(string); ok && strings.HasPrefix(l.event, "request ") {
+			return !fingerprints[f]
+		}
 		near := l.time.After(first.Add(-contextWindow)) && !l.time.After(last)
 		return !near || !hosts[l.host] || !isContext(l, upstreams)
 	})
--- a/internal/daemon/entry/exchange.go
+++ b/internal/daemon/entry/exchange.go
@@ -233,9 +233,10 @@
 		return attempt{refusal: e.refusal(denial.Reason, daisygap.NotRun, denial.Metrics)}
 	}
 	out := e.newOutbound(slot.Address)
+	sent := d.Clock.Now()
 	res, err := d.Upstream.Send(e.ctx, out, e.in.Request.Idempotent)
 	if err != nil {
-		return e.upstreamFailed(slot, err)
+		return e.upstreamFailed(slot, err, sent)
 	}
 	if res.Header.Get(daisygap.HeaderDrain) != "" {
 		slot.SignalDrain()
@@ -247,7 +248,7 @@
 	}
 	return attempt{response: res, domain: d.Settings.Domain, finish: func(o balance.Outcome) {
 		if o == balance.Succeeded {
-			d.fingerprints.clear(e.in.Request.Fingerprint)
+			d.fingerprints.answer(e.in.Request.Fingerprint, sent, d.Clock.Now())
 		}
 		if o == balance.Succeeded && res.StatusCode >= http.StatusInternalServerError {
 			o = balance.Shed
@@ -258,7 +259,7 @@
 
 // upstreamFailed turns a transport error into a refusal. It distinguishes a request that was not sent, one canceled by
 // its caller or its deadline, and one whose upstream closed the connection, which counts as a crash.
-func (e *exchange) upstreamFailed(slot *upstream.Slot, err error) attempt {
+func (e *exchange) upstreamFailed(slot *upstream.Slot, err error, sent daisygap.Millis) attempt {
 	refusalMetrics := daisygap.RefusalMetrics{TimeLeft: e.remaining()}
 	e.d.Log.With("upstream").Debugf("%v", err)
 	if errors.Is(err, upstream.ErrNotSent) {
@@ -279,7 +280,10 @@
 		slot.Done(balance.Abandoned)
 		return attempt{refusal: e.refusal(e.contextReason(), daisygap.RunUnknown, refusalMetrics)}
 	}
-	e.d.reportCrash(daisygap.Crash{Upstream: slot.Name, Fingerprint: e.in.Request.Fingerprint, Suspect: slot.Suspect})
+	e.d.reportCrash(daisygap.CrashReport{
+		Fingerprint: e.in.Request.Fingerprint, Process: daisygap.Process{ID: slot.Name, StartTime: int64(e.d.Clock.Wall())},
+		Host: e.d.Settings.Host, Sent: sent, Broken: e.d.Clock.Now(), Ended: true, Alone: slot.Suspect,
+	})
 	slot.Done(balance.ConnectionLost)
 	return attempt{refusal: e.refusal(daisygap.ReasonUpstreamFailed, daisygap.RunUnknown, refusalMetrics)}
 }
--- a/internal/daemon/entry/fingerprints.go
+++ b/internal/daemon/entry/fingerprints.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -11,7 +12,7 @@
 // fingerprints records the fingerprints of requests that were in flight when an upstream crashed.
 type fingerprints struct {
 	mu      sync.Mutex
-	tracker poison.SuspectTracker
+	tracker poison.Tracker
 	// known is the number of recorded fingerprints; while it is 0, requests need no lock.
 	known     atomic.Int64
 	ownBlocks []uint64
@@ -40,22 +41,26 @@
 	return f.tracker.Blocked(hash, now)
 }
 
-func (f *fingerprints) clear(hash uint64) {
+// answer records that an upstream answered a request that was sent at the given time.
+func (f *fingerprints) answer(hash uint64, sent, now daisygap.Millis) {
 	if f.known.Load() == 0 {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	defer f.updateKnown()
-	f.tracker.Clear(hash)
+	f.tracker.Answer(hash, sent, now)
+	f.tracker.TakeChanges()
 }
 
 // recordCrash records a crash report, and reports whether the fingerprint became blocked.
-func (f *fingerprints) recordCrash(c daisygap.Crash, now daisygap.Millis) bool {
+func (f *fingerprints) recordCrash(c daisygap.CrashReport, now daisygap.Millis) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	defer f.updateKnown()
-	if !f.tracker.Record(c, now) {
+	f.tracker.Merge([]daisygap.CrashReport{c}, nil, now)
+	blocked := slices.ContainsFunc(f.tracker.TakeChanges(), func(c poison.Change) bool { return c.Kind == poison.NewlyBlocked })
+	if !blocked {
 		return false
 	}
 	f.ownBlocks = append(f.ownBlocks, c.Fingerprint)
@@ -100,14 +105,14 @@
 
 // reportCrash records that an upstream closed its connection while it executed a request, and propagates it in the domain. It
 // waits for the next daemons, because the caller may send the request to one of them as soon as it has its response.
-func (d *Daemon) reportCrash(c daisygap.Crash) {
+func (d *Daemon) reportCrash(c daisygap.CrashReport) {
 	d.recordCrash(c)
-	d.broadcastAndWait(daisygap.Push{Crashes: []daisygap.Crash{c}}, crashReportTimeout)
+	d.broadcastAndWait(daisygap.Push{Crashes: []daisygap.CrashReport{c}}, crashReportTimeout)
 }
 
-func (d *Daemon) recordCrash(c daisygap.Crash) {
+func (d *Daemon) recordCrash(c daisygap.CrashReport) {
 	if d.fingerprints.recordCrash(c, d.Clock.Now()) {
-		d.Log.With("poison").Warnf("blocking requests with fingerprint %016x: they crashed %s and another upstream", c.Fingerprint, c.Upstream)
+		d.Log.With("poison").Warnf("blocking requests with fingerprint %016x: they crashed %s and another upstream", c.Fingerprint, c.Process.ID)
 		d.forceRecordUpdate()
 	}
 }
--- a/internal/daemon/steer/attempt.go
+++ b/internal/daemon/steer/attempt.go
@@ -49,6 +49,8 @@
 	duration  daisygap.Millis
 	dialTime  daisygap.Millis
 	choice    placement.Choice
+	// broken is set if the upstream closed or reset the connection before any byte of a response.
+	broken bool
 	// superseded is set if the attempt was canceled because another copy of the request was answered first.
 	superseded bool
 }
@@ -68,6 +70,7 @@
 	res, err := e.d.Upstream.Send(httptrace.WithClientTrace(ctx, conn.trace()), e.upstreamRequest(c), false)
 	if err != nil {
 		a.fail(err)
+		a.broken = a.state == outcomeUnknown && !conn.responded.Load() && ctx.Err() == nil && !isTimeout(err)
 	} else {
 		a.res = res
 		e.readResponse(a)
@@ -97,6 +100,7 @@
 type attemptConn struct {
 	clock     *daisygap.Clock
 	conn      atomic.Pointer[net.Conn]
+	responded atomic.Bool
 	dialStart atomic.Int64
 	dialTime  atomic.Int64
 }
@@ -106,6 +110,8 @@
 		ConnectStart: func(string, string) { c.dialStart.Store(int64(c.clock.Now())) },
 		ConnectDone:  func(string, string, error) { c.dialTime.Store(int64(c.clock.Now()) - c.dialStart.Load()) },
 		GotConn:      func(i httptrace.GotConnInfo) { c.conn.Store(&i.Conn) },
+
+		GotFirstResponseByte: func() { c.responded.Store(true) },
 	}
 }
 
@@ -136,6 +142,12 @@
 	return out
 }
 
+// isTimeout reports whether an upstream became silent, as one does that is cut off.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 func (a *attempt) fail(err error) {
 	a.err = err
 	a.state, a.reason = outcomeUnknown, daisygap.ReasonUpstreamFailed
@@ -240,25 +252,28 @@
 		if e.ctx.Err() != nil {
 			o.Result = placement.Canceled
 		}
-		d.crashes.confirmCrash(c.Upstream.ID, now)
+		if o.Result == placement.Unreachable {
+			d.recordUnreachable(processOf(c.Upstream), a.err)
+		}
 	case a.state == notExecuted:
 		o.Result = placement.Shed
 		if a.head.Misdirected {
 			o.Result = placement.Misdirected
+			d.recordEnd(processOf(c.Upstream), evidenceMisdirected, now)
 		}
 	case a.state == outcomeUnknown:
 		o.Result = placement.Failed
 		if errors.Is(a.err, syscall.ETIMEDOUT) {
 			o.Result = placement.Unreachable
 		}
-		if a.res == nil && e.ctx.Err() == nil {
-			d.crashes.addSuspect(c.Upstream.ID, e.fingerprint, now)
+		if a.broken {
+			d.recordBreak(e, a, now)
 		}
 	case a.res.StatusCode >= http.StatusInternalServerError:
 		o.Result = placement.Failed
-		d.crashes.clear(c.Upstream.ID, e.fingerprint)
+		d.recordAnswer(e.fingerprint, a.started, now)
 	default:
-		d.crashes.clear(c.Upstream.ID, e.fingerprint)
+		d.recordAnswer(e.fingerprint, a.started, now)
 	}
 	if p := d.fleet.Pool(c.Upstream.Pool); p != nil {
 		e.logNotice(c.Upstream, p.Done(c, e.route.Name, o, now))
--- a/internal/daemon/steer/crashes.go
+++ b/internal/daemon/steer/crashes.go
@@ -1,74 +1,159 @@
 package steer
 
 import (
+	"fmt"
+	"slices"
 	"sync"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/policy/placement"
 	"github.com/daisygap/daisygap/internal/policy/poison"
 )
 
-// crashReports detects upstreams that crashed while they executed a request, and holds the reports that daemons share.
-type crashReports struct {
+// crashes finds requests that crash upstreams, from this daemon's broken connections and the reports of other daemons.
+type crashes struct {
 	mu      sync.Mutex
-	reports poison.CrashTracker
-	// pending holds, by upstream ID, the requests whose connections broke and that may have crashed the upstream.
-	pending map[string][]suspectRequest
+	tracker poison.Tracker
+	// known is the number of requests with reports; while it is 0, requests need no lock.
+	known  atomic.Int64
+	probes map[daisygap.Process]*crashProbe
+	// wake triggers a message to other daemons.
+	wake chan struct{}
+	sync crashSync
 }
 
-type suspectRequest struct {
-	fingerprint uint64
-	at          daisygap.Millis
+// admit returns whether a request may be sent to an upstream.
+func (c *crashes) admit(fingerprint uint64, now daisygap.Millis) poison.Admission {
+	if c.known.Load() == 0 {
+		return poison.Free
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Admit(fingerprint, now)
 }
 
-// crashWindow is the time within which an upstream must become unreachable after a broken connection to count as crashed.
-const crashWindow = daisygap.Millis(1_500)
-
-func (c *crashReports) recent(now daisygap.Millis) []daisygap.CrashReport {
+func (c *crashes) release(fingerprint uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.reports.RecentReports(now)
+	c.tracker.Release(fingerprint)
 }
 
-func (c *crashReports) merge(reports []daisygap.CrashReport, now daisygap.Millis) {
+func (c *crashes) blocked(fingerprint uint64, now daisygap.Millis) bool {
+	if c.known.Load() == 0 {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, r := range reports {
-		c.reports.Record(r, now)
-	}
+	return c.tracker.Blocked(fingerprint, now)
 }
 
-func (c *crashReports) blocked(hash uint64, now daisygap.Millis) bool {
+func (c *crashes) suspect(fingerprint uint64, now daisygap.Millis) bool {
+	if c.known.Load() == 0 {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.reports.Blocked(hash, now)
+	return c.tracker.Suspect(fingerprint, now)
 }
 
-// addSuspect records a request whose connection broke before a response.
-func (c *crashReports) addSuspect(instance string, hash uint64, now daisygap.Millis) {
+// breaks returns the number of times in a row that a connection broke under the request.
+func (c *crashes) breaks(fingerprint uint64, now daisygap.Millis) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == nil {
-		c.pending = make(map[string][]suspectRequest)
-	}
-	c.pending[instance] = append(c.pending[instance], suspectRequest{fingerprint: hash, at: now})
+	return c.tracker.Breaks(fingerprint, now)
 }
 
-// confirmCrash records a crash for each request whose connection to the upstream broke within crashWindow.
-func (c *crashReports) confirmCrash(instance string, now daisygap.Millis) {
+// reports returns the reports for other daemons: all, or only the recent ones and those on blocked requests.
+func (c *crashes) reports(all bool, now daisygap.Millis) ([]daisygap.CrashReport, []daisygap.AnswerReport) {
+	if c.known.Load() == 0 {
+		return nil, nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, s := range c.pending[instance] {
-		if now-s.at < crashWindow {
-			c.reports.Record(daisygap.CrashReport{Fingerprint: s.fingerprint, Instance: instance}, now)
-		}
+	return c.tracker.Reports(all, now)
+}
+
+// recordAnswer records that an upstream answered a request that was sent at the given time.
+func (d *Daemon) recordAnswer(fingerprint uint64, sent, now daisygap.Millis) {
+	if d.crashes.known.Load() > 0 {
+		d.updateCrashes(func(t *poison.Tracker) { t.Answer(fingerprint, sent, now) })
 	}
-	delete(c.pending, instance)
 }
 
-// clear removes the suspicion from an upstream and from the request that it responded to.
-func (c *crashReports) clear(instance string, hash uint64) {
+// updateCrashes applies a function to the tracker, and sends what it changed to other daemons unless that is only a suspicion.
+func (d *Daemon) updateCrashes(f func(*poison.Tracker)) {
+	if slices.ContainsFunc(d.updateTracker(f), func(c poison.Change) bool { return c.Kind != poison.Suspected }) {
+		d.wakeCrashPush()
+	}
+}
+
+// updateTracker applies a function to the tracker, and logs and returns what it changed.
+func (d *Daemon) updateTracker(f func(*poison.Tracker)) []poison.Change {
+	c := &d.crashes
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.pending, instance)
-	c.reports.Clear(hash)
+	f(&c.tracker)
+	changes := c.tracker.TakeChanges()
+	c.known.Store(int64(c.tracker.Len()))
+	suspectedGauge.set(uint64(c.tracker.Len()))
+	blockedGauge.set(uint64(c.tracker.BlockedLen()))
+	c.mu.Unlock()
+	for _, x := range changes {
+		d.logCrashChange(x)
+	}
+	return changes
+}
+
+var (
+	suspectedGauge atomicGauge
+	blockedGauge   atomicGauge
+)
+
+func (d *Daemon) logCrashChange(c poison.Change) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`daisygap_crash_changes_total{kind=%q,evidence=%q}`, c.Kind, c.Evidence)).Inc()
+	name := "request " + string(c.Kind)
+	d.event(name, name, func() daisygap.Fields {
+		f := daisygap.Fields{"fingerprint": formatFingerprint(c.Fingerprint)}
+		if c.Process.ID != "" {
+			f["upstream"], f["run"], f["by"] = c.Process.ID, c.Process.StartTime, c.Host
+		}
+		if c.Evidence != "" {
+			f["evidence"] = c.Evidence
+		}
+		if c.Kind == poison.NewlyBlocked {
+			f["weight"], f["for_ms"] = c.Weight, c.For
+		}
+		return f
+	})
+}
+
+func formatFingerprint(fingerprint uint64) string {
+	return fmt.Sprintf("%016x", fingerprint)
+}
+
+func processOf(u *placement.Upstream) daisygap.Process {
+	return daisygap.Process{ID: u.ID, StartTime: u.StartTime}
+}
+
+// recordBreak records that the connection of an attempt broke before any byte of a response, and looks for evidence that the process
+// ended.
+func (d *Daemon) recordBreak(e *exchange, a *attempt, now daisygap.Millis) {
+	u := a.choice.Upstream
+	r := daisygap.CrashReport{Fingerprint: e.fingerprint, Process: processOf(u), Sent: a.started, Broken: now, Alone: e.alone}
+	d.updateCrashes(func(t *poison.Tracker) { t.Break(r, now) })
+	d.probeCrash(r.Process, u.Address)
+}
+
+// The evidence that a process ended.
+const (
+	evidenceRefused     = "connection refused"
+	evidenceMisdirected = "another instance answers"
+	evidenceStore       = "store"
+)
+
+// recordEnd records evidence that a process ended.
+func (d *Daemon) recordEnd(p daisygap.Process, evidence string, now daisygap.Millis) {
+	d.updateCrashes(func(t *poison.Tracker) { t.End(p, evidence, now) })
 }
--- /dev/null
+++ b/internal/daemon/steer/crashsync.go
@@ -0,0 +1,149 @@
+package steer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/policy/poison"
+)
+
+const (
+	// staleContact is the time without contact to other daemons after which this one asks for all crash reports. It is below the
+	// time for which daemons forward a report.
+	staleContact = daisygap.Millis(3_000)
+	// crashSyncWait is how long requests wait for these reports, and crashSyncPeers the number of daemons asked.
+	crashSyncWait  = daisygap.Millis(300)
+	crashSyncPeers = 3
+	// crashPushDelay collects reports that arise together into one message.
+	crashPushDelay = daisygap.Millis(5)
+	// crashPushRate and crashPushBurst limit the rounds of messages per second, and crashPushFanout is the number of daemons that a
+	// round reaches in a large fleet, where each of them forwards the news.
+	crashPushRate   = 2
+	crashPushBurst  = 10
+	crashPushFanout = 8
+)
+
+// crashSync is the state of the exchange of all reports after this daemon started, or was frozen or cut off.
+type crashSync struct {
+	// contact is the time of the last exchange with another daemon, or of the last attempt if none responded. It is 0 at the start.
+	contact atomic.Int64
+	mu      sync.Mutex
+	// running is closed when the pending exchange ends. It is nil if there is none.
+	running chan struct{}
+	// isolated is set while no other daemon responds.
+	isolated atomic.Bool
+}
+
+// noteContact records an exchange with another daemon.
+func (d *Daemon) noteContact() {
+	d.crashes.sync.contact.Store(int64(d.Clock.Now()))
+	d.crashes.sync.isolated.Store(false)
+}
+
+// isContactStale reports whether reports of other daemons may have been missed.
+func (d *Daemon) isContactStale() bool {
+	at := daisygap.Millis(d.crashes.sync.contact.Load())
+	return at == 0 || d.Clock.Now()-at > staleContact
+}
+
+// awaitCrashSync makes sure that this daemon knows the requests that other daemons block. It waits for them for a short time after the
+// daemon started or regained its processor, and once when it lost contact.
+func (d *Daemon) awaitCrashSync(ctx context.Context) {
+	s := &d.crashes.sync
+	if !d.isContactStale() || s.isolated.Load() {
+		return
+	}
+	s.mu.Lock()
+	if s.running == nil {
+		s.running = make(chan struct{})
+		go d.syncCrashes(s.running)
+	}
+	running := s.running
+	s.mu.Unlock()
+	select {
+	case <-running:
+	case <-ctx.Done():
+	}
+}
+
+// syncCrashes asks some daemons for all crash reports, and closes done when they responded or after crashSyncWait.
+func (d *Daemon) syncCrashes(done chan struct{}) {
+	s := &d.crashes.sync
+	var group sync.WaitGroup
+	for _, address := range d.gossipTargets(crashSyncPeers) {
+		group.Go(func() { d.exchangeGossip(address) })
+	}
+	responded := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(responded)
+	}()
+	select {
+	case <-responded:
+	case <-time.After(crashSyncWait.Duration()):
+	}
+	if d.isContactStale() {
+		s.isolated.Store(true)
+	}
+	s.mu.Lock()
+	s.running = nil
+	s.mu.Unlock()
+	close(done)
+}
+
+func (d *Daemon) wakeCrashPush() {
+	select {
+	case d.crashes.wake <- struct{}{}:
+	default:
+	}
+}
+
+// runCrashPush sends new crash reports to other daemons at once, since the next copy of the request may arrive at any of them.
+func (d *Daemon) runCrashPush() {
+	limiter := rate.NewLimiter(crashPushRate, crashPushBurst)
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-d.crashes.wake:
+		}
+		if limiter.Wait(d.ctx) != nil || !d.sleep(crashPushDelay) {
+			return
+		}
+		for _, address := range d.gossipTargets(d.crashPushTargets()) {
+			go d.exchangeGossip(address)
+		}
+	}
+}
+
+// crashPushTargets returns the number of daemons that get new crash reports at once: all of a small fleet.
+func (d *Daemon) crashPushTargets() int {
+	if d.isSmallFleet() {
+		return smallFleet
+	}
+	return crashPushFanout
+}
+
+func (d *Daemon) isSmallFleet() bool {
+	d.membership.mu.Lock()
+	defer d.membership.mu.Unlock()
+	return len(d.membership.roster.Alive(d.Clock.Now())) <= smallFleet
+}
+
+// mergeCrashes merges another daemon's reports. In a large fleet it forwards what is new.
+func (d *Daemon) mergeCrashes(g daisygap.Gossip) {
+	if len(g.Crashes)+len(g.Answers) == 0 {
+		return
+	}
+	news := false
+	now := d.Clock.Now()
+	d.updateTracker(func(t *poison.Tracker) { news = t.Merge(g.Crashes, g.Answers, now) })
+	if news && !d.isSmallFleet() {
+		d.wakeCrashPush()
+	}
+}
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -42,7 +42,7 @@
 	replica      storeReplica
 	membership   membership
 	budgets      retryBudgets
-	crashes      crashReports
+	crashes      crashes
 	registration registration
 	events       eventLimits
 	renewals     renewals
@@ -74,12 +74,14 @@
 		StartTime: int64(d.Clock.Wall()),
 	}
 	d.registration.wake = make(chan struct{}, 1)
+	d.crashes.wake = make(chan struct{}, 1)
+	d.crashes.tracker.Host = s.Host + "." + d.membership.roster.Self.Peer.Incarnation
 	d.budgets.ratio, d.budgets.slack = s.Steering.RetryRatio, s.Steering.RetrySlack
 	// The error is ignored: the settings were validated when they were loaded, and without a window there is no slack.
 	d.budgets.window, _ = s.Steering.RetryWindow.Millis()
 	d.updateDaemonNames()
 	d.Log.Event("start", daisygap.Fields{"host": s.Host, "domain": s.Domain, "region": s.Region, "run": d.membership.roster.Self.Peer.Incarnation})
-	for _, loop := range []func(){d.runWatch, d.runCatchUp, d.runRegister, d.runGossip, d.runLapseExpiry, d.runPoolTicks, d.runHints, d.runRenewals} {
+	for _, loop := range []func(){d.runWatch, d.runCatchUp, d.runRegister, d.runGossip, d.runLapseExpiry, d.runPoolTicks, d.runHints, d.runRenewals, d.runCrashPush} {
 		d.loops.Go(loop)
 	}
 }
--- a/internal/daemon/steer/events.go
+++ b/internal/daemon/steer/events.go
@@ -90,6 +90,9 @@
 		if c.PassedOver > 0 {
 			f["passed_over"] = c.PassedOver
 		}
+		if reason == daisygap.ReasonPoisoned {
+			f["fingerprint"] = formatFingerprint(e.fingerprint)
+		}
 		f["load"], f["load_age_ms"], f["wait_ms"], f["retry_ms"], f["took_ms"] = c.Load, c.ReportAge, int(c.Wait), c.RetryAfter, e.d.Clock.Now()-e.started
 		return f
 	})
@@ -99,6 +102,9 @@
 	e.d.event("offer failed", "offer failed "+string(a.reason), func() daisygap.Fields {
 		f := e.fields(a)
 		f["reason"] = a.reason
+		if a.broken {
+			f["fingerprint"] = formatFingerprint(e.fingerprint)
+		}
 		return f
 	})
 }
--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/policy/placement"
+	"github.com/daisygap/daisygap/internal/policy/poison"
 )
 
 const (
@@ -55,6 +56,8 @@
 	permitRequests int
 	// lastReason is why the last attempt failed.
 	lastReason daisygap.Reason
+	// alone is set if no other copy of the request may run, because it was blocked before.
+	alone bool
 	// fallback is a 5xx response that is delivered when no other upstream succeeds.
 	fallback *attempt
 }
@@ -74,6 +77,9 @@
 	if !e.matchRoute() || !e.readBody() {
 		return
 	}
+	if e.alone {
+		defer d.crashes.release(e.fingerprint)
+	}
 	if !e.endsBeforeStop(d.Clock.Now()) {
 		e.refuse(http.StatusServiceUnavailable, daisygap.ReasonStopping, placement.Choice{RetryAfter: stoppingRetryAfter})
 		return
@@ -163,9 +169,18 @@
 	}
 	_, _ = h.Write(e.body)
 	e.fingerprint = h.Sum64()
-	if e.d.crashes.blocked(e.fingerprint, e.started) {
+	return e.admit()
+}
+
+// admit refuses the request if it is blocked, and returns false then.
+func (e *exchange) admit() bool {
+	e.d.awaitCrashSync(e.in.Context())
+	switch e.d.crashes.admit(e.fingerprint, e.d.Clock.Now()) {
+	case poison.Blocked:
 		e.refuse(http.StatusServiceUnavailable, daisygap.ReasonPoisoned, placement.Choice{RetryAfter: poisonRetryAfter})
 		return false
+	case poison.Alone:
+		e.alone = true
 	}
 	return true
 }
@@ -269,7 +284,7 @@
 func (e *exchange) mayRetry(a *attempt, reason daisygap.Reason) bool {
 	now := e.d.Clock.Now()
 	switch {
-	case e.bodyRest != nil:
+	case e.bodyRest != nil, e.alone:
 		return false
 	case e.possibleRuns > 0 && !e.route.Idempotent:
 		return false
@@ -279,7 +294,9 @@
 		return false
 	case float64(e.deadline-now) < minRemainingTarget*float64(e.route.TargetLatency):
 		return false
-	case e.d.crashes.blocked(e.fingerprint, now), !e.endsBeforeStop(now):
+	}
+	e.awaitCrashVerdict(a)
+	if now = e.d.Clock.Now(); e.d.crashes.blocked(e.fingerprint, now) || !e.endsBeforeStop(now) {
 		return false
 	}
 	if e.reached > 0 && !e.d.budgets.tryWithdraw(e.pool, now) {
--- a/internal/daemon/steer/gossip.go
+++ b/internal/daemon/steer/gossip.go
@@ -74,23 +74,28 @@
 }
 
 func (d *Daemon) exchangeGossip(address string) {
-	reply, err := d.Peers.Gossip(address, d.nextGossip())
+	g := d.nextGossip(false)
+	g.AllCrashes = d.isContactStale()
+	reply, err := d.Peers.Gossip(address, g)
 	if err != nil {
 		return // the roster detects daemons that don't respond
 	}
 	d.mergeGossip(reply)
+	d.noteContact()
 }
 
-// nextGossip increments this daemon's heartbeat counter and returns the message for a gossip exchange.
-func (d *Daemon) nextGossip() daisygap.Gossip {
+// nextGossip increments this daemon's heartbeat counter and returns the message for a gossip exchange, with all crash reports or only
+// with the recent ones.
+func (d *Daemon) nextGossip(allCrashes bool) daisygap.Gossip {
 	now, revision := d.Clock.Now(), d.revision()
+	crashes, answers := d.crashes.reports(allCrashes, now)
 	d.membership.mu.Lock()
 	defer d.membership.mu.Unlock()
 	self := &d.membership.roster.Self
 	self.Counter++
 	self.Ready, self.Leaving, self.Revision = d.Ready(), d.stopping.Load(), revision
 	return daisygap.Gossip{
-		Heartbeats: d.membership.roster.Sample(now), Crashes: d.crashes.recent(now),
+		Heartbeats: d.membership.roster.Sample(now), Crashes: crashes, Answers: answers,
 		Loads: d.fleet.RecentLoads(now), Rates: d.fleet.RecentRates(now),
 	}
 }
@@ -100,7 +105,7 @@
 	d.membership.mu.Lock()
 	changed := d.membership.roster.Merge(g.Heartbeats, now)
 	d.membership.mu.Unlock()
-	d.crashes.merge(g.Crashes, now)
+	d.mergeCrashes(g)
 	d.fleet.MergeLoads(g.Loads, now)
 	d.mergeRates(g.Rates, "peer")
 	if changed {
@@ -111,7 +116,7 @@
 // ServeGossip merges another daemon's gossip and returns this daemon's.
 func (d *Daemon) ServeGossip(g daisygap.Gossip) daisygap.Gossip {
 	d.mergeGossip(g)
-	return d.nextGossip()
+	return d.nextGossip(g.AllCrashes)
 }
 
 // gossipTargets picks up to count live daemons at random, most of them of this region, and a few whose heartbeats are
--- a/internal/daemon/steer/hedge.go
+++ b/internal/daemon/steer/hedge.go
@@ -50,7 +50,7 @@
 // hedgeDelay returns how long to wait before the second copy, or 0 if none is to be sent.
 func (e *exchange) hedgeDelay(c placement.Choice) daisygap.Millis {
 	pool := e.d.fleet.Pool(e.pool)
-	if pool == nil || e.bodyRest != nil || e.d.stopping.Load() || e.possibleRuns+1 >= e.route.MaxAttempts {
+	if pool == nil || e.bodyRest != nil || e.alone || e.d.stopping.Load() || e.possibleRuns+1 >= e.route.MaxAttempts {
 		return 0
 	}
 	return pool.HedgeDelay(e.query(e.d.Clock.Now()), c)
@@ -84,7 +84,7 @@
 	defer h.mu.Unlock()
 	e, now := h.e, h.e.d.Clock.Now()
 	pool := e.d.fleet.Pool(e.pool)
-	if h.firstEnded || pool == nil || e.d.stopping.Load() || e.d.crashes.blocked(e.fingerprint, now) || !e.d.budgets.tryWithdraw(e.pool, now) {
+	if h.firstEnded || pool == nil || e.d.stopping.Load() || e.d.crashes.suspect(e.fingerprint, now) || !e.d.budgets.tryWithdraw(e.pool, now) {
 		return placement.Choice{}, false
 	}
 	c, ok := pool.ChooseHedge(e.query(now), h.first, now)
--- a/internal/daemon/steer/replica.go
+++ b/internal/daemon/steer/replica.go
@@ -144,6 +144,7 @@
 	}
 	if e.Deleted {
 		if _, lapsed := r.lapsed[e.Key]; !lapsed {
+			d.noteProcessEnd(r.decoded[e.Key].Instance)
 			delete(r.decoded, e.Key)
 			d.Log.Event("entry ended", daisygap.Fields{"key": e.Key, "revision": e.Revision, "from": source, "age_ms": e.Age})
 		}
@@ -169,6 +170,9 @@
 	if decoded.Peer != nil {
 		d.addContact(*decoded.Peer)
 	}
+	if i := decoded.Instance; i != nil {
+		d.noteReplacedProcesses(e.Key, *i)
+	}
 	if i := decoded.Instance; i != nil && i.Draining && (r.decoded[e.Key].Instance == nil || !r.decoded[e.Key].Instance.Draining) {
 		departuresByStore.Inc()
 	}
@@ -176,6 +180,26 @@
 	d.logDecoded(e, decoded, source)
 }
 
+// noteProcessEnd records that the store removed the entry of a process that hadn't announced its departure.
+func (d *Daemon) noteProcessEnd(i *daisygap.Instance) {
+	if i != nil && !i.Draining {
+		d.recordEnd(daisygap.Process{ID: i.ID, StartTime: i.StartTime}, evidenceStore, d.Clock.Now())
+	}
+}
+
+// noteReplacedProcesses records the end of the processes that had the ID or the address of a process that is new.
+func (d *Daemon) noteReplacedProcesses(key string, i daisygap.Instance) {
+	old := d.replica.decoded[key].Instance
+	if old != nil && old.StartTime == i.StartTime && old.Address == i.Address {
+		return
+	}
+	for _, x := range d.replica.decoded {
+		if o := x.Instance; o != nil && (o == old && o.StartTime != i.StartTime || o.Address == i.Address && o.ID != i.ID) {
+			d.noteProcessEnd(o)
+		}
+	}
+}
+
 // outdated reports whether an upstream's entry is older than one already seen, by process start time and then by sequence.
 func (d *Daemon) outdated(i daisygap.Instance) bool {
 	last, known := d.replica.newest[i.ID]
--- a/internal/daemon/steer/site_test.go
+++ b/internal/daemon/steer/site_test.go
@@ -38,16 +38,30 @@
 
 func startSite(t *testing.T, s *site.Site, daemons ...string) *testSite {
 	t.Helper()
-	ts := &testSite{Site: s, t: t, servers: make(map[string]*instance.Server)}
-	ts.must(ts.Run())
-	t.Cleanup(ts.Close)
+	ts := newSite(t, s)
 	for domain := range regions {
 		for _, pool := range []string{"stock", "desk"} {
 			ts.startServer(domain+"-"+pool, pool, domain)
 		}
 	}
+	ts.startDaemons(daemons...)
+	return ts
+}
+
+// newSite starts a site without servers and daemons.
+func newSite(t *testing.T, s *site.Site) *testSite {
+	t.Helper()
+	ts := &testSite{Site: s, t: t, servers: make(map[string]*instance.Server)}
+	ts.must(ts.Run())
+	t.Cleanup(ts.Close)
+	return ts
+}
+
+// startDaemons starts a daemon in each of the domains.
+func (ts *testSite) startDaemons(domains ...string) {
+	ts.t.Helper()
 	var peers []string
-	for i, domain := range daemons {
+	for i, domain := range domains {
 		d, err := ts.Start(fmt.Sprintf("host-%d", i), domain, peers...)
 		ts.must(err)
 		peers = append(peers, d.Settings.PeerAddress)
@@ -56,7 +70,6 @@
 	for _, d := range ts.daemons {
 		ts.await("a daemon to become ready", func() bool { return d.Listeners.Daemon.Ready() })
 	}
-	return ts
 }
 
 func (ts *testSite) startServer(id, pool, domain string) *instance.Server {
--- a/internal/daemon/steer/trace_test.go
+++ b/internal/daemon/steer/trace_test.go
@@ -92,6 +92,8 @@
 	{`127\.0\.0\.1:\d+`, "ADDRESS"},
 	{` error=.*?( \w+=)`, " error=ERROR$1"},
 	{`(_ms|load|wait|revision|in_flight)=-?[\d.e-]+`, "$1=N"},
+	{`fingerprint=[0-9a-f]{16}`, "fingerprint=FINGERPRINT"},
+	{`by=host-0\.\w+`, "by=host-0.RUN"},
 }
 
 // compareTrace compares the output of a trace with its golden file.
@@ -161,6 +163,28 @@
 	compareTrace(t, "stop", trace(t, got.id, log.text()))
 }
 
+func TestTraceOfRequestThatCrashesServers(t *testing.T) {
+	ts, log := startWithLog(t, "n-1", "desk")
+	for i := range 3 {
+		ts.servers["n-1-desk"].SetFault(instance.Crash)
+		got := ts.sendRequest(newClient(t), ts.daemons[0], http.MethodPost, "/orders/1", "an order")
+		if got.status != http.StatusBadGateway {
+			t.Fatalf("copy %d: status %d", i, got.status)
+		}
+		ts.await("the evidence", func() bool { return strings.Count(log.text(), `"request crashed"`) > i })
+		ts.must(ts.Put(fmt.Sprintf("servers/n-1-desk%s", strings.Repeat("-next", i)), nil))
+		id := "n-1-desk" + strings.Repeat("-next", i+1)
+		ts.startServer(id, "desk", "n-1")
+		ts.servers["n-1-desk"] = ts.servers[id]
+		ts.await("the next server", func() bool { return strings.Contains(log.text(), `"key":"servers/`+id+`"`) })
+	}
+	got := ts.sendRequest(newClient(t), ts.daemons[0], http.MethodPost, "/orders/1", "an order")
+	if got.header.Get(daisygap.HeaderReason) != string(daisygap.ReasonPoisoned) {
+		t.Fatalf("status %d, reason %q", got.status, got.header.Get(daisygap.HeaderReason))
+	}
+	compareTrace(t, "poisoned", trace(t, got.id, log.text()))
+}
+
 // TestLogRateIsLimited guards against a log that grows with the number of refusals. It has 2,000 requests refused and counts
 // their lines, which must stay within the rate, and expects an event with the number of suppressed lines.
 func TestLogRateIsLimited(t *testing.T) {
--- /dev/null
+++ b/internal/policy/poison/exchange.go
@@ -0,0 +1,108 @@
+package poison
+
+import (
+	"container/list"
+
+	"github.com/daisygap/daisygap"
+)
+
+// maxShared bounds the reports in one message.
+const maxShared = 512
+
+// maxReportAge is the age from which on another daemon's report is ignored.
+const maxReportAge = blockedRetention - daisygap.Millis(60_000)
+
+// ChangeKind is what happened to a request.
+type ChangeKind string
+
+// The kinds of changes.
+const (
+	Suspected    ChangeKind = "suspected"
+	Crashed      ChangeKind = "crashed"
+	NewlyBlocked ChangeKind = "blocked"
+	Answered     ChangeKind = "answered"
+)
+
+// Change is an event for the log: a request's connection broke, the process there is known to have ended, the request is blocked, or
+// an upstream answered it.
+type Change struct {
+	Kind        ChangeKind
+	Fingerprint uint64
+	Process     daisygap.Process
+	// Host is the daemon that sent the request, and Evidence what showed that the process ended.
+	Host     string
+	Evidence string
+	// Weight is that of the crashes in a row, and For the duration of the block.
+	Weight int
+	For    daisygap.Millis
+}
+
+// maxChanges bounds the changes that are held for the log.
+const maxChanges = 256
+
+func (t *Tracker) change(c Change) {
+	if len(t.changes) < maxChanges {
+		t.changes = append(t.changes, c)
+	}
+}
+
+// TakeChanges returns the changes since the last call.
+func (t *Tracker) TakeChanges() []Change {
+	list := t.changes
+	t.changes = nil
+	return list
+}
+
+// Merge adds the reports of another daemon, and reports whether a crash or an answer is news.
+func (t *Tracker) Merge(crashes []daisygap.CrashReport, answers []daisygap.AnswerReport, now daisygap.Millis) bool {
+	news := false
+	for _, c := range crashes {
+		// An older report could come back from a daemon that forgets it later.
+		if c.Age < 0 || c.Age > maxReportAge || c.Sent > c.Broken || c.Host == t.Host {
+			continue
+		}
+		broken := now - c.Age
+		known := t.processes.broken(c.Process, c.Fingerprint, broken, now)
+		if c.Ended && !known && c.Age < confirmWindow {
+			t.End(c.Process, "peer", now)
+		}
+		c.Ended = c.Ended || known
+		if t.add(report{CrashReport: c, sent: broken - (c.Broken - c.Sent), broken: broken}, now) {
+			news = true
+		}
+	}
+	for _, a := range answers {
+		if r := t.find(a.Fingerprint, now); r != nil && now-a.SentAge > r.answered+transitTime {
+			t.Answer(a.Fingerprint, now-a.SentAge, now)
+		}
+	}
+	return news
+}
+
+// Reports returns what changed in the last reportPeriod and all reports on blocked requests, or everything if all is set, up to
+// maxShared reports.
+func (t *Tracker) Reports(all bool, now daisygap.Millis) ([]daisygap.CrashReport, []daisygap.AnswerReport) {
+	var crashes []daisygap.CrashReport
+	var answers []daisygap.AnswerReport
+	collect := func(l *list.List, whole bool) {
+		for e := l.Front(); e != nil && len(crashes)+len(answers) < maxShared; e = e.Next() {
+			r := e.Value.(*record)
+			if !whole && now-r.changed >= reportPeriod {
+				return
+			}
+			if r.answered != never && (whole || now-r.answerChanged < reportPeriod) {
+				answers = append(answers, daisygap.AnswerReport{Fingerprint: r.fingerprint, SentAge: now - r.answered})
+			}
+			for _, x := range r.reports {
+				if x.broken > r.answered {
+					c := x.CrashReport
+					c.Age = now - x.broken
+					crashes = append(crashes, c)
+				}
+			}
+		}
+	}
+	collect(&t.blocked, true)
+	collect(&t.suspects, all)
+	return crashes, answers
+}
--- /dev/null
+++ b/internal/policy/poison/model_test.go
@@ -0,0 +1,448 @@
+package poison
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/daisygap/daisygap"
+)
+
+const (
+	modelCulprit  = uint64(1)
+	modelPopular  = uint64(100)
+	modelInnocent = 3
+	// modelLatency is the longest time of a message, modelRound the time between two gossip exchanges of a daemon, and modelAnswer
+	// the time in which an innocent request is answered.
+	modelLatency = 35
+	modelRound   = daisygap.Millis(400)
+	modelAnswer  = daisygap.Millis(30)
+	// modelLapse is the time from the end of a process to the end of its entry in the store.
+	modelLapse = daisygap.Millis(4_500)
+)
+
+// model simulates daemons that send a request which crashes each server that runs it, beside requests that don't.
+type model struct {
+	t       *rapid.T
+	random  *rand.Rand
+	now     daisygap.Millis
+	queue   eventQueue
+	daemons []*modelDaemon
+	servers []*modelServer
+	// attempts is the largest number of servers for one request, and refuses is false if servers are back before a dial is refused.
+	attempts int
+	refuses  bool
+	downtime daisygap.Millis
+	keepIDs  bool
+
+	crashes int
+	blocked int
+	served  int
+}
+
+type modelDaemon struct {
+	tracker Tracker
+	// offset is the difference between the daemon's clock and the model's.
+	offset     daisygap.Millis
+	cut        bool
+	generation int
+	inFlight   []*modelRun
+}
+
+type modelServer struct {
+	process daisygap.Process
+	life    int
+	downAt  daisygap.Millis
+	down    bool
+}
+
+// modelRun is an innocent request that a server runs.
+type modelRun struct {
+	fingerprint uint64
+	sent        daisygap.Millis
+	server      *modelServer
+	process     daisygap.Process
+	over        bool
+}
+
+type event struct {
+	at daisygap.Millis
+	f  func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+func (m *model) after(d daisygap.Millis, f func()) {
+	heap.Push(&m.queue, event{m.now + d, f})
+}
+
+func (m *model) runUntil(end daisygap.Millis) {
+	for len(m.queue) > 0 && m.queue[0].at <= end {
+		e := heap.Pop(&m.queue).(event)
+		m.now = e.at
+		e.f()
+	}
+	m.now = end
+}
+
+func (m *model) draw(low, high int) int {
+	return low + m.random.IntN(high-low+1)
+}
+
+func (d *modelDaemon) clock(m *model) daisygap.Millis { return m.now + d.offset }
+
+func newModel(t *rapid.T, daemons int) *model {
+	m := &model{
+		t: t, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), now: 1_000, attempts: rapid.IntRange(1, 3).Draw(t, "attempts"),
+		downtime: 2_500, refuses: true, keepIDs: rapid.Bool().Draw(t, "old ids"),
+	}
+	for range daemons {
+		m.daemons = append(m.daemons, new(modelDaemon))
+		m.restart(len(m.daemons) - 1)
+	}
+	for i := range 20 {
+		m.servers = append(m.servers, &modelServer{process: daisygap.Process{ID: fmt.Sprint("s", i), StartTime: 1}})
+	}
+	for i := range m.daemons {
+		m.after(daisygap.Millis(10*i), func() { m.gossip(i) })
+	}
+	return m
+}
+
+// restart replaces a daemon by one that knows nothing and asks another one for all reports before it serves.
+func (m *model) restart(i int) {
+	d := m.daemons[i]
+	d.generation++
+	d.offset = daisygap.Millis(m.draw(0, 1_000_000)) - m.now
+	d.tracker = Tracker{Host: fmt.Sprintf("host-%d.%d", i, d.generation)}
+	d.inFlight = nil
+	if len(m.daemons) > 1 {
+		m.deliver(m.daemons[(i+1)%len(m.daemons)], d, true)
+	}
+}
+
+// deliver merges one daemon's reports into another's.
+func (m *model) deliver(from, to *modelDaemon, all bool) {
+	if from.cut || to.cut {
+		return
+	}
+	crashes, answers := from.tracker.Reports(all, from.clock(m))
+	to.tracker.Merge(crashes, answers, to.clock(m))
+	to.tracker.TakeChanges()
+}
+
+func (m *model) gossip(i int) {
+	if len(m.daemons) > 1 {
+		other := m.draw(0, len(m.daemons)-2)
+		if other >= i {
+			other++
+		}
+		m.deliver(m.daemons[i], m.daemons[other], false)
+		m.deliver(m.daemons[other], m.daemons[i], false)
+	}
+	m.after(modelRound, func() { m.gossip(i) })
+}
+
+// push sends a daemon's new reports to all others.
+func (m *model) push(d *modelDaemon) {
+	d.tracker.TakeChanges()
+	crashes, answers := d.tracker.Reports(false, d.clock(m))
+	for _, to := range m.daemons {
+		if to != d && !d.cut {
+			m.after(daisygap.Millis(m.draw(1, modelLatency)), func() {
+				if !to.cut {
+					to.tracker.Merge(crashes, answers, to.clock(m))
+				}
+			})
+		}
+	}
+}
+
+// crash ends a server's process. The connections of all requests that run there break.
+func (m *model) crash(s *modelServer) {
+	s.down, s.downAt = true, m.now
+	old := s.process
+	for _, d := range m.daemons {
+		for _, r := range d.inFlight {
+			if r.process == old && !r.over {
+				r.over = true
+				d.tracker.Break(daisygap.CrashReport{
+					Fingerprint: r.fingerprint, Process: old, Sent: r.sent + d.offset, Broken: d.clock(m),
+				}, d.clock(m))
+				m.probe(d, s, old)
+			}
+		}
+	}
+	back := m.downtime
+	if !m.refuses {
+		back = 1
+	}
+	m.after(back, func() {
+		s.down = false
+		s.life++
+		s.process.StartTime++
+		if !m.keepIDs {
+			s.process.ID = fmt.Sprintf("%s.%d", s.process.ID, s.life)
+		}
+		// The new process registers at once.
+		m.after(20, func() { m.end(old) })
+	})
+	m.after(modelLapse, func() { m.end(old) })
+}
+
+// end records at all daemons that the store shows the end of a process.
+func (m *model) end(p daisygap.Process) {
+	for _, d := range m.daemons {
+		d.tracker.End(p, "store", d.clock(m))
+		if len(d.tracker.TakeChanges()) > 0 {
+			m.push(d)
+		}
+	}
+}
+
+// probe opens a connection to a process whose connection broke.
+func (m *model) probe(d *modelDaemon, s *modelServer, p daisygap.Process) {
+	m.after(2, func() {
+		if s.down && m.refuses {
+			d.tracker.End(p, "refused", d.clock(m))
+			m.push(d)
+		}
+	})
+}
+
+func (m *model) upServers() int {
+	n := 0
+	for _, s := range m.servers {
+		if !s.down {
+			n++
+		}
+	}
+	return n
+}
+
+// choose returns a server that is up, or nil if there is none.
+func (m *model) choose() *modelServer {
+	n := m.upServers()
+	if n == 0 {
+		return nil
+	}
+	at := m.draw(0, n-1)
+	for _, s := range m.servers {
+		if s.down {
+			continue
+		}
+		if at == 0 {
+			return s
+		}
+		at--
+	}
+	return nil
+}
+
+// sendCulprit sends the crashing request as a daemon does.
+func (m *model) sendCulprit(d *modelDaemon) {
+	switch d.tracker.Admit(modelCulprit, d.clock(m)) {
+	case Blocked:
+		m.blocked++
+	case Alone:
+		m.attemptCulprit(d, 1, true)
+	case Free:
+		m.attemptCulprit(d, m.attempts, false)
+	}
+}
+
+func (m *model) attemptCulprit(d *modelDaemon, left int, alone bool) {
+	s := m.choose()
+	if s == nil {
+		return
+	}
+	m.crashes++
+	p, sent := s.process, d.clock(m)
+	m.crash(s)
+	m.after(1, func() {
+		now := d.clock(m)
+		d.tracker.Break(daisygap.CrashReport{Fingerprint: modelCulprit, Process: p, Sent: sent, Broken: now, Alone: alone}, now)
+		m.push(d)
+		m.probe(d, s, p)
+		wait := daisygap.Millis(0)
+		if d.tracker.Breaks(modelCulprit, now) >= 2 {
+			wait = 3
+		}
+		m.after(wait, func() {
+			if alone {
+				d.tracker.Release(modelCulprit)
+			} else if left > 1 && !d.tracker.Blocked(modelCulprit, d.clock(m)) {
+				m.attemptCulprit(d, left-1, false)
+			}
+		})
+	})
+}
+
+// sendInnocent sends a request that is answered unless its server crashes meanwhile, or its connection is reset.
+func (m *model) sendInnocent(d *modelDaemon, fingerprint uint64, reset bool) {
+	if d.tracker.Admit(fingerprint, d.clock(m)) == Blocked {
+		m.t.Fatalf("request %d is blocked at %d ms", fingerprint, m.now)
+	}
+	s := m.choose()
+	if s == nil {
+		return
+	}
+	r := &modelRun{fingerprint: fingerprint, sent: m.now, server: s, process: s.process}
+	d.inFlight = append(d.inFlight, r)
+	m.after(modelAnswer, func() {
+		if r.over {
+			return
+		}
+		r.over = true
+		now := d.clock(m)
+		if reset {
+			d.tracker.Break(daisygap.CrashReport{Fingerprint: fingerprint, Process: r.process, Sent: r.sent + d.offset, Broken: now}, now)
+			return
+		}
+		m.served++
+		d.tracker.Answer(fingerprint, r.sent+d.offset, now)
+		d.tracker.TakeChanges()
+	})
+	if len(d.inFlight) > 100 {
+		d.inFlight = d.inFlight[50:]
+	}
+}
+
+// traffic sends innocent requests for some popular objects at random daemons.
+func (m *model) traffic(interval daisygap.Millis, end daisygap.Millis, resets int) {
+	if m.now >= end {
+		return
+	}
+	d := m.daemons[m.draw(0, len(m.daemons)-1)]
+	m.sendInnocent(d, modelPopular+uint64(m.draw(0, modelInnocent-1)), m.draw(0, 99) < resets)
+	m.after(interval, func() { m.traffic(interval, end, resets) })
+}
+
+// maxSerialCrashes is the largest number of servers that a request crashes whose copies come one after the other, until it is blocked.
+const maxSerialCrashes = 4
+
+// allowedCrashes adds the trials after the blocks, each of which is longer than the one before.
+func allowedCrashes(duration daisygap.Millis) int {
+	return maxSerialCrashes + int(math.Log2(float64(duration)/float64(firstBlock)+1))
+}
+
+// TestCulpritIsBlockedAtAnyPace checks the number of servers that a crashing request ends, and that requests beside it are never
+// blocked, at any pace, with one or many daemons, in quiet and busy traffic, with servers that keep their IDs or not.
+func TestCulpritIsBlockedAtAnyPace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, rapid.IntRange(1, 12).Draw(t, "daemons"))
+		pace := daisygap.Millis(100 * math.Pow(600, rapid.Float64Range(0, 1).Draw(t, "pace")))
+		interval := daisygap.Millis(rapid.SampledFrom([]int{25, 300, 5_000}).Draw(t, "interval"))
+		copies := 16
+		duration := pace * daisygap.Millis(copies)
+		if trafficFor := min(duration, 20_000); interval > 0 {
+			m.traffic(interval, m.now+trafficFor, rapid.SampledFrom([]int{0, 10}).Draw(t, "resets"))
+		}
+		for i := range copies {
+			m.after(daisygap.Millis(i)*pace, func() { m.sendCulprit(m.daemons[m.draw(0, len(m.daemons)-1)]) })
+		}
+		m.runUntil(m.now + duration)
+		if allowed := allowedCrashes(duration); m.crashes > allowed {
+			t.Fatalf("%d servers crashed in %d copies, %d ms apart, want at most %d", m.crashes, copies, pace, allowed)
+		}
+	})
+}
+
+// TestCulpritIsBlockedWithoutRefusedDials covers servers that are back before a daemon finds that nothing listens there, so that only
+// the store shows the end of their processes.
+func TestCulpritIsBlockedWithoutRefusedDials(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, rapid.IntRange(1, 12).Draw(t, "daemons"))
+		m.refuses = false
+		pace := daisygap.Millis(rapid.IntRange(100, 6_000).Draw(t, "pace"))
+		m.traffic(300, m.now+10_000, 0)
+		for i := range 16 {
+			m.after(daisygap.Millis(i)*pace, func() { m.sendCulprit(m.daemons[m.draw(0, len(m.daemons)-1)]) })
+		}
+		m.runUntil(m.now + 16*pace)
+		// The store's evidence comes after the retries of the same request.
+		if allowed := allowedCrashes(16*pace) + m.attempts - 1; m.crashes > allowed {
+			t.Fatalf("%d servers crashed in 16 copies, %d ms apart, want at most %d", m.crashes, pace, allowed)
+		}
+	})
+}
+
+// TestRestartsDoNotForgetCulprit restarts the daemons one after the other while the copies come.
+func TestRestartsDoNotForgetCulprit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, rapid.IntRange(2, 6).Draw(t, "daemons"))
+		pace := daisygap.Millis(rapid.IntRange(100, 3_000).Draw(t, "pace"))
+		for i := range 30 {
+			m.after(daisygap.Millis(i)*pace, func() { m.sendCulprit(m.daemons[m.draw(0, len(m.daemons)-1)]) })
+		}
+		for i := range m.daemons {
+			m.after(daisygap.Millis(i+1)*2_000, func() { m.restart(i) })
+		}
+		m.runUntil(m.now + 30*pace)
+		if allowed := allowedCrashes(30 * pace); m.crashes > allowed {
+			t.Fatalf("%d servers crashed, want at most %d", m.crashes, allowed)
+		}
+	})
+}
+
+// TestCutDaemonsCountOnTheirOwn cuts daemons off from the others for a time. Each side may lose servers of its own, and learns what the
+// others block when it is back.
+func TestCutDaemonsCountOnTheirOwn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, rapid.IntRange(2, 6).Draw(t, "daemons"))
+		pace := daisygap.Millis(rapid.IntRange(100, 1_000).Draw(t, "pace"))
+		cuts := rapid.IntRange(1, len(m.daemons)-1).Draw(t, "cuts")
+		for i := range cuts {
+			m.after(1_000, func() { m.daemons[i].cut = true })
+			m.after(6_000, func() {
+				m.daemons[i].cut = false
+				m.deliver(m.daemons[len(m.daemons)-1], m.daemons[i], true)
+			})
+		}
+		for i := range 40 {
+			m.after(daisygap.Millis(i)*pace, func() { m.sendCulprit(m.daemons[m.draw(0, len(m.daemons)-1)]) })
+		}
+		m.runUntil(m.now + 40*pace)
+		if allowed := (1 + cuts) * maxSerialCrashes; m.crashes > allowed {
+			t.Fatalf("%d servers crashed with %d daemons cut off, want at most %d", m.crashes, cuts, allowed)
+		}
+	})
+}
+
+// TestInnocentsAreNeverBlocked crashes up to half of the servers for reasons of their own, also many at once, beside popular requests
+// and resets.
+func TestInnocentsAreNeverBlocked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, rapid.IntRange(1, 6).Draw(t, "daemons"))
+		m.traffic(daisygap.Millis(rapid.IntRange(5, 50).Draw(t, "interval")), m.now+20_000, rapid.SampledFrom([]int{0, 20}).Draw(t, "resets"))
+		gap := daisygap.Millis(rapid.IntRange(300, 3_000).Draw(t, "gap"))
+		for at := gap; at < 20_000; at += gap {
+			m.after(at, func() {
+				for range []int{1, 1, 1, 10}[m.draw(0, 3)] {
+					if m.upServers() > len(m.servers)/2 {
+						m.crash(m.choose())
+					}
+				}
+			})
+		}
+		m.runUntil(m.now + 20_000)
+		if m.served == 0 {
+			t.Fatal("no request was served")
+		}
+	})
+}
--- /dev/null
+++ b/internal/policy/poison/report.go
@@ -0,0 +1,100 @@
+package poison
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/daisygap/daisygap"
+)
+
+// report is a crash report with its times on this daemon's clock.
+type report struct {
+	daisygap.CrashReport
+	sent   daisygap.Millis
+	broken daisygap.Millis
+}
+
+// follows reports whether the request was sent after the connection of another one broke. Reports of one daemon are compared by
+// its own clock. A request that ran alone was sent by a daemon that knew of an earlier crash.
+func (x report) follows(earlier report) bool {
+	switch {
+	case x.Host == earlier.Host:
+		return x.Sent >= earlier.Broken
+	case x.Alone && !earlier.Alone:
+		return true
+	}
+	return x.sent >= earlier.broken+transitTime
+}
+
+func endedOnly(x *report) bool { return x.Ended }
+
+// weight returns the weight of the longest series of counted reports after the last answer of which each follows the one before.
+func (r *record) weight(counts func(*report) bool) int {
+	var last *report
+	weight := 0
+	for i := range r.reports {
+		x := &r.reports[i]
+		if x.broken <= r.answered || !counts(x) || last != nil && !x.follows(*last) {
+			continue
+		}
+		if last != nil && x.Alone {
+			weight += aloneWeight
+		} else {
+			weight++
+		}
+		last = x
+	}
+	return weight
+}
+
+// lastCrash returns the time of the last crash, or never.
+func (r *record) lastCrash() daisygap.Millis {
+	last := never
+	for _, x := range r.reports {
+		if x.Ended {
+			last = max(last, x.broken)
+		}
+	}
+	return last
+}
+
+// insert adds a report in the order of the broken connections. It drops reports that no longer count, and one that counts least if
+// there are too many.
+func (r *record) insert(x report, now daisygap.Millis) {
+	r.reports = slices.DeleteFunc(r.reports, func(old report) bool {
+		return old.broken <= r.answered || !old.Ended && now-old.broken >= confirmWindow
+	})
+	if len(r.reports) >= maxReports {
+		r.reports = slices.Delete(r.reports, r.leastUseful(), r.leastUseful()+1)
+	}
+	r.reports = append(r.reports, x)
+	r.align(x.Host)
+	slices.SortStableFunc(r.reports, func(a, b report) int { return cmp.Compare(a.broken, b.broken) })
+}
+
+// align converts the times of a daemon's reports with the same difference between the clocks, so that they keep their order. The report
+// that was the shortest time on the way gives the best estimate of it.
+func (r *record) align(host string) {
+	offset := daisygap.Millis(math.MaxInt64)
+	for _, x := range r.reports {
+		if x.Host == host {
+			offset = min(offset, x.broken-x.Broken)
+		}
+	}
+	for i := range r.reports {
+		if x := &r.reports[i]; x.Host == host {
+			x.sent, x.broken = x.Sent+offset, x.Broken+offset
+		}
+	}
+}
+
+// leastUseful returns the index of a report that adds nothing to the weight, or else 0.
+func (r *record) leastUseful() int {
+	for i := range r.reports {
+		if i > 0 && !r.reports[i].follows(r.reports[i-1]) {
+			return i
+		}
+	}
+	return 0
+}
--- a/internal/standin/instance/server.go
+++ b/internal/standin/instance/server.go
@@ -114,6 +114,11 @@
 	ColdStart daisygap.Millis
 	// RetryAfter is the header of that name in refusals with status 503. If empty, they have none.
 	RetryAfter string
+	// Listen is the address to listen on. If empty, it is a free loopback port.
+	Listen string
+	// CrashPath, if set, is a part of the paths of requests that stop the whole server, which then calls OnCrash.
+	CrashPath string
+	OnCrash   func()
 	// OnArrival, if set, is called for every arrival.
 	OnArrival func(Arrival)
 
@@ -131,9 +136,13 @@
 	http            *http.Server
 }
 
-// Run starts to serve on a free loopback port.
+// Run starts to serve.
 func (s *Server) Run() error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address := s.Listen
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
@@ -310,6 +319,11 @@
 
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, run *Run, f Fault) {
 	h := w.Header()
+	if s.CrashPath != "" && strings.Contains(r.URL.Path, s.CrashPath) {
+		s.Close()
+		s.OnCrash()
+		return
+	}
 	h.Set("Request-Id", run.ID)
 	h.Set("Response-Stamp", "stamp-"+run.ID)
 	s.mu.Lock()
--- a/peer.go
+++ b/peer.go
@@ -99,7 +99,7 @@
 type Push struct {
 	Patches []Patch        `json:"p,omitempty"`
 	Records []DomainRecord `json:"r,omitempty"`
-	Crashes []Crash        `json:"c,omitempty"`
+	Crashes []CrashReport  `json:"c,omitempty"`
 	// RefusalTotals are the refusal counts of the leaseholder with the given Incarnation, which other daemons store in
 	// case the leaseholder fails.
 	RefusalTotals []RefusalTotal `json:"t,omitempty"`
@@ -107,15 +107,6 @@
 	Root          string         `json:"o,omitempty"`
 }
 
-// Crash reports that a request was running on an upstream when the upstream crashed.
-type Crash struct {
-	Upstream    string `json:"u"`
-	Fingerprint uint64 `json:"p"`
-	// Suspect reports whether the request had been running at an earlier crash and was the only such request on the
-	// upstream.
-	Suspect bool `json:"s,omitempty"`
-}
-
 // Loan grants slots of an upstream, or bandwidth of a link between regions, from one daemon to another.
 type Loan struct {
 	ID uint64 `json:"i"`
