--- a/internal/adapter/upstream/client.go
+++ b/internal/adapter/upstream/client.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/daisygap/daisygap"
@@ -47,7 +46,7 @@
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	return &Client{transport: &http.Transport{
-		DialContext:            dial,
+		DialContext:            countWrites(dial),
 		TLSClientConfig:        tlsConfig,
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        idleTimeout,
@@ -73,24 +72,39 @@
 	c.transport.CloseIdleConnections()
 }
 
-// Send sends a request, and sends it only once unless mayRepeat is set. The error wraps ErrNotSent or ErrMaybeExecuted, in a
-// daisygap.Error with the address.
+// maxStaleConns is the number of reused connections in a row that a request may find closed before it fails.
+const maxStaleConns = 4
+
+// Send sends a request, and sends it only once unless mayRepeat is set. A request of which no byte was sent on a reused connection,
+// because that had been closed, goes on to another connection if its body can be read again. The error wraps ErrNotSent or
+// ErrMaybeExecuted, in a daisygap.Error with the address.
 func (c *Client) Send(ctx context.Context, r *http.Request, mayRepeat bool) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	r = r.WithContext(httptrace.WithClientTrace(ctx, trace))
-	if !mayRepeat {
-		preventReplay(r)
-	}
-	res, err := c.transport.RoundTrip(r)
-	if err == nil {
-		return res, nil
-	}
-	class := ErrNotSent
-	if connected.Load() {
-		class = ErrMaybeExecuted
+	getBody, hasBody := r.GetBody, r.Body != nil && r.Body != http.NoBody
+	for try := 1; ; try++ {
+		var use connUse
+		out := r.WithContext(httptrace.WithClientTrace(ctx, use.trace()))
+		if !mayRepeat {
+			preventReplay(out)
+		}
+		res, err := c.transport.RoundTrip(out)
+		if err == nil {
+			return res, nil
+		}
+		unsent := use.isUnsent() && ctx.Err() == nil
+		if unsent && use.reused.Load() && try < maxStaleConns && (!hasBody || getBody != nil) {
+			if hasBody {
+				if r.Body, err = getBody(); err != nil {
+					return nil, daisygap.WrapError("send", r.URL.Host, errors.Join(ErrNotSent, err))
+				}
+			}
+			continue
+		}
+		class := ErrMaybeExecuted
+		if unsent || !use.connected.Load() {
+			class = ErrNotSent
+		}
+		return nil, daisygap.WrapError("send", r.URL.Host, errors.Join(class, err))
 	}
-	return nil, daisygap.WrapError("send", r.URL.Host, errors.Join(class, err))
 }
 
 // Probe opens a connection to an address and closes it.
--- a/internal/adapter/upstream/client_test.go
+++ b/internal/adapter/upstream/client_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/daisygap/daisygap"
@@ -71,6 +72,49 @@
 	}
 }
 
+// staleConn is a connection that the other side closed while it was idle, as the next write finds out.
+type staleConn struct {
+	net.Conn
+	idle atomic.Bool
+}
+
+func (c *staleConn) Write(p []byte) (int, error) {
+	if c.idle.Load() {
+		return 0, syscall.ECONNRESET
+	}
+	return c.Conn.Write(p)
+}
+
+// TestRequestOutlivesStaleConnection guards against a request that fails, although no byte of it was sent, because its reused
+// connection had been closed.
+func TestRequestOutlivesStaleConnection(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		for _, body := range []string{"", "{}"} {
+			var runs atomic.Int32
+			s := newBreakingServer(&runs)
+			var last *staleConn
+			c := NewClient(nil, func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := new(net.Dialer).DialContext(ctx, network, address)
+				last = &staleConn{Conn: conn}
+				return last, err
+			})
+			for range 2 {
+				res, err := c.Send(context.Background(), newRequest(t, method, s.URL, body), false)
+				if err != nil {
+					t.Fatalf("%s %q: %v", method, body, err)
+				}
+				_ = res.Body.Close()
+				last.idle.Store(true)
+			}
+			if n := runs.Load(); n != 2 {
+				t.Errorf("%s %q: %d requests ran, want 2", method, body, n)
+			}
+			c.Close()
+			s.Close()
+		}
+	}
+}
+
 func newRequest(t *testing.T, method, url, body string) *http.Request {
 	t.Helper()
 	r, err := http.NewRequest(method, url, strings.NewReader(body))
--- a/internal/daemon/steer/attempt.go
+++ b/internal/daemon/steer/attempt.go
@@ -137,6 +137,7 @@
 	case e.bodyRest != nil:
 		out.Body, out.ContentLength = io.NopCloser(io.MultiReader(bytes.NewReader(e.body), e.bodyRest)), e.in.ContentLength
 	case len(e.body) > 0:
+		out.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(e.body)), nil }
 		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(e.body)), int64(len(e.body))
 	}
 	return out
