--- a/internal/daemon/steer/attempt.go
+++ b/internal/daemon/steer/attempt.go
@@ -12,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/adapter/forward"
@@ -67,6 +68,14 @@
 	a := &attempt{choice: c, cancel: cancel, started: started}
 	conn := &attemptConn{clock: e.d.Clock}
 	a.closeConn = conn.close
+	// A request that outlives its caller once it is sent is given up before.
+	defer context.AfterFunc(e.in.Context(), func() {
+		time.AfterFunc(unsentGrace.Duration(), func() {
+			if conn.conn.Load() == nil {
+				cancel()
+			}
+		})
+	})()
 	res, err := e.d.Upstream.Send(httptrace.WithClientTrace(ctx, conn.trace()), e.upstreamRequest(c), false)
 	if err != nil {
 		a.fail(err)
@@ -243,7 +252,7 @@
 		o.KnowsRate, o.NamesRate, o.Rate, o.SentAt = a.res != nil && !a.head.RateUnknown, a.head.NamesRate, a.head.Rate, a.started
 	}
 	switch {
-	case a.superseded || e.in.Context().Err() != nil:
+	case a.superseded || e.in.Context().Err() != nil && (e.route.Idempotent || a.state != complete):
 		o.Result = placement.Canceled
 	case a.state == unreachable:
 		o.Result = placement.Unreachable
--- a/internal/daemon/steer/deliver.go
+++ b/internal/daemon/steer/deliver.go
@@ -44,8 +44,7 @@
 	a.body = nil // the rest of the response may take long
 	if _, err := io.Copy(e.w, a.res.Body); err != nil {
 		a.err = err
-		e.logEnd("answer broke off", a)
-		panic(http.ErrAbortHandler)
+		e.abort("answer broke off", a)
 	}
 	e.logDelivered(a)
 }
--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -56,6 +57,8 @@
 	permitRequests int
 	// lastReason is why the last attempt failed.
 	lastReason daisygap.Reason
+	// leftAt is when the caller closed the sending side of its connection. It is set soon after the context of the request has ended.
+	leftAt atomic.Int64
 	// alone is set if no other copy of the request may run, because it was blocked before.
 	alone bool
 	// fallback is a 5xx response that is delivered when no other upstream succeeds.
@@ -84,14 +87,45 @@
 		e.refuse(http.StatusServiceUnavailable, daisygap.ReasonStopping, placement.Choice{RetryAfter: stoppingRetryAfter})
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), (e.deadline - d.Clock.Now()).Duration())
+	ctx, cancel := context.WithTimeout(e.parentContext(), (e.deadline - d.Clock.Now()).Duration())
 	defer cancel()
 	defer context.AfterFunc(d.answerCtx, cancel)()
 	e.ctx = ctx
+	defer context.AfterFunc(r.Context(), func() { e.leftAt.Store(int64(d.Clock.Now())) })()
 	d.budgets.deposit(e.pool, e.started)
 	e.forward()
 }
 
+// parentContext returns the context of the caller's connection if the request may be repeated. Others go on when the caller has closed its
+// sending side, since it may still read the response.
+func (e *exchange) parentContext() context.Context {
+	if e.route.Idempotent {
+		return e.in.Context()
+	}
+	return context.WithoutCancel(e.in.Context())
+}
+
+// unsentGrace is how long after its caller closed the sending side a request that isn't idempotent may still be sent to an upstream.
+const unsentGrace = daisygap.Millis(300)
+
+// callerLeft reports whether the caller closed its connection and the request is to be given up.
+func (e *exchange) callerLeft() bool {
+	if e.in.Context().Err() == nil {
+		return false
+	}
+	if e.route.Idempotent {
+		return true
+	}
+	at := daisygap.Millis(e.leftAt.Load())
+	return e.possibleRuns == 0 && at > 0 && e.d.Clock.Now()-at > unsentGrace
+}
+
+// abort ends the caller's connection without a response. A handler that returns without one would send an empty success.
+func (e *exchange) abort(event string, a *attempt) {
+	e.logEnd(event, a)
+	panic(http.ErrAbortHandler)
+}
+
 // matchRoute sets the request's route, pool and deadline. It refuses a request that has no ID or route or exceeds a limit,
 // and returns false then.
 func (e *exchange) matchRoute() bool {
@@ -250,9 +284,8 @@
 
 // finish delivers the response or fails the request. It returns false when another upstream is to be tried instead.
 func (e *exchange) finish(a *attempt) bool {
-	if e.in.Context().Err() != nil {
-		e.logEnd("caller left", a)
-		return true
+	if e.callerLeft() {
+		e.abort("caller left", a)
 	}
 	switch a.state {
 	case complete:
@@ -312,8 +345,8 @@
 // request, depending on whether its time is over, and otherwise with 503.
 func (e *exchange) fail(reason daisygap.Reason, c placement.Choice) {
 	switch {
-	case e.in.Context().Err() != nil:
-		e.logEnd("caller left", nil)
+	case e.callerLeft():
+		e.abort("caller left", nil)
 	case e.fallback != nil:
 		e.deliver(e.fallback)
 	case e.possibleRuns > 0 && e.ctx.Err() != nil:
