--- a/internal/adapter/caller/inbound.go
+++ b/internal/adapter/caller/inbound.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/forward"
 )
 
 const (
@@ -66,6 +67,9 @@
 		in.Request.ID = in.Request.ID[:min(len(in.Request.ID), maxIDLength)]
 		return in, &Problem{daisygap.ReasonBadRequest, "request ID longer than 64 bytes or idempotency key longer than 256 bytes"}
 	}
+	if _, unchanged := forward.TargetOf(r).URL(""); !unchanged {
+		return in, &Problem{daisygap.ReasonBadRequest, "the path can't be forwarded unchanged"}
+	}
 	name, kind, ok := MatchKind(c, r)
 	if !ok {
 		return in, &Problem{daisygap.ReasonUnknownKind, "no kind of request matches the host, method and path"}
@@ -154,9 +158,10 @@
 	if err != nil {
 		host = r.Host
 	}
+	path := forward.TargetOf(r).Path
 	for name, kind := range c.Kinds {
 		for _, m := range kind.Match {
-			if !matches(m, host, r) {
+			if !matches(m, host, path, r.Method) {
 				continue
 			}
 			specificity := 4*len(m.Path) + 2*min(len(m.Host), 1) + min(len(m.Method), 1)
@@ -168,14 +173,14 @@
 	return bestName, bestKind, bestSpecificity >= 0
 }
 
-func matches(m daisygap.Match, host string, r *http.Request) bool {
+func matches(m daisygap.Match, host, path, method string) bool {
 	if m.Host != "" && !strings.EqualFold(m.Host, host) {
 		return false
 	}
-	if m.Method != "" && m.Method != r.Method {
+	if m.Method != "" && m.Method != method {
 		return false
 	}
-	return strings.HasPrefix(r.URL.Path, m.Path)
+	return strings.HasPrefix(path, m.Path)
 }
 
 // timeLeft returns the time until a request's deadline. This is the caller's value, limited to the kind's longest deadline,
@@ -197,7 +202,7 @@
 func fingerprint(r *http.Request, bodyPrefix []byte) uint64 {
 	h := xxhash.New()
 	_, _ = h.WriteString(r.Method)
-	_, _ = h.WriteString("\x00" + r.URL.Path + "\x00" + r.URL.RawQuery + "\x00")
+	_, _ = h.WriteString("\x00" + forward.TargetOf(r).String() + "\x00")
 	var size [8]byte
 	binary.BigEndian.PutUint64(size[:], uint64(len(bodyPrefix)))
 	_, _ = h.Write(size[:])
--- a/internal/adapter/caller/inbound_test.go
+++ b/internal/adapter/caller/inbound_test.go
@@ -33,6 +33,7 @@
 		{name: "negative deadline", method: "GET", target: "/", header: map[string]string{"Daisygap-Deadline": "-1"}, kind: "all", problem: daisygap.ReasonBadRequest},
 		{name: "caller header of an untrusted caller is ignored", method: "GET", target: "/", header: map[string]string{"Daisygap-Caller": "other"}, kind: "all", caller: "192.0.2.1", left: 100},
 		{name: "caller header of another daemon", method: "GET", target: "/", header: map[string]string{"Daisygap-Caller": "other"}, hop: true, kind: "all", caller: "other", left: 100},
+		{name: "encoded slash is no separator", method: "POST", target: "/ord%65rs/1", kind: "all", caller: "192.0.2.1", left: 100},
 		{name: "idempotency key too long", method: "GET", target: "/", header: map[string]string{"Idempotency-Key": strings.Repeat("x", 300)}, problem: daisygap.ReasonBadRequest},
 	}
 	for _, tt := range tests {
--- a/internal/adapter/forward/header.go
+++ b/internal/adapter/forward/header.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"net/textproto"
-	"net/url"
 	"strings"
 )
 
@@ -39,11 +38,3 @@
 		h.Del(name)
 	}
 }
-
-// URL returns the URL of a request with the scheme http, the given address as host and no user information.
-func URL(in *http.Request, address string) *url.URL {
-	u := *in.URL
-	u.Scheme, u.Host = "http", address
-	u.User = nil
-	return &u
-}
--- a/internal/daemon/entry/exchange.go
+++ b/internal/daemon/entry/exchange.go
@@ -355,8 +355,10 @@
 // newOutbound returns the request for an upstream or another daemon, with the remaining time as its deadline.
 func (e *exchange) newOutbound(address string) *http.Request {
 	in := e.in.HTTP
+	// The reader has checked that there is a URL.
+	u, _ := forward.TargetOf(in).URL(address)
 	out := &http.Request{
-		Method: in.Method, URL: forward.URL(in, address), Host: in.Host, Header: forwardHeader(in.Header),
+		Method: in.Method, URL: u, Host: in.Host, Header: forwardHeader(in.Header),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if body, length := e.in.Body(); length != 0 {
--- a/internal/daemon/entry/listeners.go
+++ b/internal/daemon/entry/listeners.go
@@ -82,6 +82,9 @@
 
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{
+		// OPTIONS * is refused like any other target that no kind matches.
+		DisableGeneralOptionsHandler: true,
+
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
--- a/internal/daemon/steer/attempt.go
+++ b/internal/daemon/steer/attempt.go
@@ -132,8 +132,10 @@
 
 // upstreamRequest builds the request that is sent to an upstream.
 func (e *exchange) upstreamRequest(c placement.Choice) *http.Request {
+	// matchRoute has checked that there is a URL.
+	u, _ := e.target.URL(c.Upstream.Address)
 	out := &http.Request{
-		Method: e.in.Method, URL: forward.URL(e.in, c.Upstream.Address), Host: e.in.Host,
+		Method: e.in.Method, URL: u, Host: e.in.Host,
 		Header: make(http.Header, len(e.in.Header)+2),
 		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
 	}
--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/forward"
 	"github.com/daisygap/daisygap/internal/policy/placement"
 	"github.com/daisygap/daisygap/internal/policy/poison"
 )
@@ -31,6 +32,7 @@
 	w        http.ResponseWriter
 	in       *http.Request
 	head     daisygap.RequestHead
+	target   forward.Target
 	snapshot *snapshot
 	// route and pool are set by matchRoute.
 	route *daisygap.Route
@@ -77,6 +79,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	e := &exchange{d: d, w: w, in: r, head: d.Protocol.ReadRequestHead(r), snapshot: d.snapshot.Load(), started: d.Clock.Now()}
+	e.target = forward.TargetOf(r)
 	if !e.matchRoute() || !e.readBody() {
 		return
 	}
@@ -126,18 +129,18 @@
 	panic(http.ErrAbortHandler)
 }
 
-// matchRoute sets the request's route, pool and deadline. It refuses a request that has no ID or route or exceeds a limit,
-// and returns false then.
+// matchRoute sets the request's route, pool and deadline. It refuses a request that has no ID or route, exceeds a limit or can't be
+// forwarded unchanged, and returns false then.
 func (e *exchange) matchRoute() bool {
 	if e.snapshot == nil {
 		e.refuse(http.StatusServiceUnavailable, daisygap.ReasonNoConfiguration, placement.Choice{RetryAfter: noConfigurationRetryAfter})
 		return false
 	}
-	if e.head.ID == "" {
+	if _, unchanged := e.target.URL(""); e.head.ID == "" || !unchanged {
 		e.refuse(http.StatusBadRequest, daisygap.ReasonBadRequest, placement.Choice{})
 		return false
 	}
-	e.route = e.snapshot.table.Find(e.in.Host, e.in.URL.Path)
+	e.route = e.snapshot.table.Find(e.in.Host, e.target.Path)
 	if e.route == nil {
 		e.refuse(http.StatusNotFound, daisygap.ReasonUnknownKind, placement.Choice{})
 		return false
@@ -198,7 +201,7 @@
 		}
 	}
 	h := xxhash.New()
-	for _, field := range []string{e.in.Method, e.in.Host, e.in.URL.RequestURI(), e.head.AffinityKey} {
+	for _, field := range []string{e.in.Method, e.in.Host, e.target.String(), e.head.AffinityKey} {
 		_, _ = h.WriteString(field + "\x00")
 	}
 	_, _ = h.Write(e.body)
--- a/internal/daemon/steer/listeners.go
+++ b/internal/daemon/steer/listeners.go
@@ -77,6 +77,8 @@
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		ErrorLog: l.Daemon.errorLog(),
+		// OPTIONS * is refused like any other target without a route.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
--- a/internal/daemon/steer/safety_test.go
+++ b/internal/daemon/steer/safety_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/daisygap/daisygap/internal/standin/instance"
+	"github.com/daisygap/daisygap/internal/standin/site"
 )
 
 func TestMessagesPassUnchanged(t *testing.T) {
@@ -32,6 +34,36 @@
 	}
 }
 
+// TestRoutesMatchPathAsSent guards against a percent-encoded slash that selects the route of another pool, and against a target that
+// changes on the way.
+func TestRoutesMatchPathAsSent(t *testing.T) {
+	inner := site.Route{Name: "inner", Prefix: "/reads/a/", Kind: "unsafe", Pool: "desk"}
+	ts := startSite(t, &site.Site{Regions: regions, Routes: append([]site.Route{inner}, routes...)}, "n-1")
+	for i, target := range []string{"/reads/a%2Fb", "/reads/a|b%2Fc", "/reads//a/../a/./b", "/reads/%61/x?", "/reads/a%2fb/c?d|e"} {
+		c := dialRaw(t, ts.daemons[0])
+		id := fmt.Sprintf("target-%d", i)
+		_, _ = io.WriteString(c, rawRequest(http.MethodGet, target, id)+"\r\n")
+		res, err := c.response(http.MethodGet)
+		if err != nil || res.StatusCode != http.StatusOK {
+			t.Fatalf("%s: %v, %v", target, res, err)
+		}
+		for server, s := range ts.servers {
+			for _, r := range s.Runs() {
+				if r.ID == id && (r.Path != target || s.Pool != "stock") {
+					t.Errorf("%s ran on %s as %s", target, server, r.Path)
+				}
+			}
+		}
+	}
+	for _, target := range []string{"*", "/nowhere"} {
+		c := dialRaw(t, ts.daemons[0])
+		_, _ = io.WriteString(c, rawRequest(http.MethodOptions, target, "options")+"\r\n")
+		if res, err := c.response(http.MethodOptions); err != nil || res.StatusCode != http.StatusNotFound {
+			t.Errorf("OPTIONS %s: %v, %v, want status 404", target, res, err)
+		}
+	}
+}
+
 func TestUnknownPathsAndOversizedRequestsAreRefused(t *testing.T) {
 	ts := start(t, "n-1")
 	client, d := newClient(t), ts.daemons[0]
--- a/internal/standin/instance/server.go
+++ b/internal/standin/instance/server.go
@@ -258,7 +258,7 @@
 	}
 	s.mu.Unlock()
 	if s.OnArrival != nil {
-		s.OnArrival(Arrival{ID: r.Header.Get("Request-Id"), Path: r.URL.RequestURI(), Body: string(body), Executed: run != nil})
+		s.OnArrival(Arrival{ID: r.Header.Get("Request-Id"), Path: r.RequestURI, Body: string(body), Executed: run != nil})
 	}
 	if run == nil {
 		if fault == RepeatRefusal || fault == RepeatBareRefusal {
@@ -308,7 +308,7 @@
 	if err != nil {
 		remaining = -1
 	}
-	run := &Run{ID: r.Header.Get("Request-Id"), Path: r.URL.RequestURI(), Body: body, Remaining: remaining, At: time.Now()}
+	run := &Run{ID: r.Header.Get("Request-Id"), Path: r.RequestURI, Body: body, Remaining: remaining, At: time.Now()}
 	s.runs = append(s.runs, run)
 	s.running++
 	return run
