--- a/internal/adapter/caller/inbound.go
+++ b/internal/adapter/caller/inbound.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -55,8 +56,8 @@
 	TrustedProxies []netip.Prefix
 }
 
-// Read determines the kind, caller and deadline of a request and reads the start of its body. The hop argument is set if
-// another daemon forwarded the request. The Inbound is never nil, but incomplete if there is a Problem.
+// Read determines the kind, caller and deadline of a request. The hop argument is set if another daemon forwarded the request. The
+// Inbound is never nil, but incomplete if there is a Problem. ReadBody must follow.
 func (d *Reader) Read(c *daisygap.Configuration, r *http.Request, hop bool) (*Inbound, *Problem) {
 	in := &Inbound{HTTP: r, Address: remoteAddress(r)}
 	in.Request = &daisygap.Request{ID: r.Header.Get(daisygap.HeaderID)}
@@ -86,7 +87,7 @@
 	}
 	in.Request.Deadline = d.Clock.Now() + remaining
 	d.setCaller(in, r, hop)
-	return in, d.readBodyPrefix(in, r)
+	return in, nil
 }
 
 // setCaller sets the caller and its address, and the origin of a forwarded request. Only trusted proxies and other daemons
@@ -117,8 +118,9 @@
 	return false
 }
 
-// readBodyPrefix reads the start of the body and computes the fingerprint.
-func (d *Reader) readBodyPrefix(in *Inbound, r *http.Request) *Problem {
+// ReadBody reads the start of the body and computes the fingerprint. The caller bounds the time for it.
+func (in *Inbound) ReadBody() *Problem {
+	r := in.HTTP
 	if r.ContentLength > MaxBody {
 		return &Problem{daisygap.ReasonTooLarge, "request body larger than 64 MiB"}
 	}
@@ -133,6 +135,9 @@
 		if errors.As(err, &tooLarge) {
 			return &Problem{daisygap.ReasonTooLarge, "request body larger than 64 MiB"}
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return &Problem{daisygap.ReasonExpired, "the request body did not arrive in time"}
+		}
 		return &Problem{daisygap.ReasonBadRequest, "reading the request body: " + err.Error()}
 	}
 	in.BodyPrefix = prefix
--- a/internal/daemon/entry/exchange.go
+++ b/internal/daemon/entry/exchange.go
@@ -71,8 +71,17 @@
 	started := d.Clock.Now()
 	r.Body = http.MaxBytesReader(w, r.Body, caller.MaxBody)
 	control := http.NewResponseController(w)
-	d.setReadDeadline(control, time.Now().Add(bodyStartTimeout))
 	in, problem := d.reader.Read(d.config(), r, forwarded)
+	if problem == nil {
+		wait := min(bodyStartTimeout, (in.Request.Deadline - started).Duration())
+		d.setReadDeadline(control, time.Now().Add(wait))
+		problem = in.ReadBody()
+	}
+	if problem != nil && r.ContentLength != 0 {
+		// net/http would wait for the rest of the body before it sends the refusal.
+		w.Header().Set("Connection", "close")
+		d.setReadDeadline(control, time.Now())
+	}
 	switch {
 	case d.topology.Load() == nil:
 		d.refuse(w, d.refusal(in.Request, daisygap.ReasonNoConfiguration, daisygap.NotRun, daisygap.RefusalMetrics{}), "this daemon has no configuration yet")
--- a/internal/daemon/steer/callerend_test.go
+++ b/internal/daemon/steer/callerend_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -109,3 +111,60 @@
 		t.Errorf("more bytes after the last response: %v", err)
 	}
 }
+
+// TestPausedBodyDoesNotOutlastTimeout guards against a request that has no answer, and holds its upstream's place, as long as its caller
+// pauses within the body or sends a byte now and then.
+func TestPausedBodyDoesNotOutlastTimeout(t *testing.T) {
+	tests := []struct {
+		name, target  string
+		length, first int
+		trickle       bool
+		status        []int
+		atMost        time.Duration
+	}{
+		{name: "short", target: "/brief/1", length: 10, first: 2, status: []int{http.StatusRequestTimeout}, atMost: 700 * time.Millisecond},
+		{name: "trickle", target: "/brief/2", length: 1 << 10, first: 2, trickle: true, status: []int{http.StatusRequestTimeout}, atMost: 700 * time.Millisecond},
+		{
+			name: "long", target: "/brief/3", length: 4 << 20, first: 3 << 19, atMost: 700 * time.Millisecond,
+			status: []int{http.StatusRequestTimeout, http.StatusGatewayTimeout},
+		},
+		{
+			name: "long trickle", target: "/brief/4", length: 4 << 20, first: 3 << 19, trickle: true, atMost: 700 * time.Millisecond,
+			status: []int{http.StatusRequestTimeout, http.StatusGatewayTimeout},
+		},
+		{name: "refused", target: "/nowhere", length: 10, first: 2, status: []int{http.StatusNotFound}, atMost: 300 * time.Millisecond},
+		{name: "refused long", target: "/nowhere", length: 1 << 20, first: 1 << 10, status: []int{http.StatusNotFound}, atMost: 300 * time.Millisecond},
+	}
+	ts := start(t, "n-1")
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := dialRaw(t, ts.daemons[0])
+			started := time.Now()
+			head := rawRequest(http.MethodPost, tt.target, "paused-"+tt.name) + fmt.Sprintf("Content-Length: %d\r\n\r\n", tt.length)
+			_, _ = io.WriteString(c, head+strings.Repeat("x", tt.first))
+			stop := make(chan struct{})
+			defer close(stop)
+			if tt.trickle {
+				go func() {
+					for {
+						select {
+						case <-stop:
+							return
+						case <-time.After(20 * time.Millisecond):
+							_, _ = io.WriteString(c, "x")
+						}
+					}
+				}()
+			}
+			res, err := c.response(http.MethodPost)
+			if took := time.Since(started); err != nil || !slices.Contains(tt.status, res.StatusCode) || took > tt.atMost {
+				t.Errorf("got %v, %v after %v, want a status of %v within %v", res, err, took, tt.status, tt.atMost)
+			}
+		})
+	}
+	for _, s := range ts.servers {
+		for _, r := range s.Runs() {
+			t.Errorf("%s ran a request whose body was not complete: %s", s.ID, r.ID)
+		}
+	}
+}
--- a/internal/daemon/steer/deliver.go
+++ b/internal/daemon/steer/deliver.go
@@ -21,6 +21,7 @@
 	if e.in.Method != http.MethodHead && a.res.StatusCode != http.StatusNoContent && a.res.StatusCode != http.StatusNotModified {
 		h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
+	e.beforeResponse()
 	e.w.WriteHeader(a.res.StatusCode)
 	if _, err := e.w.Write(a.body); err != nil {
 		e.logEnd("caller left", a)
@@ -37,6 +38,7 @@
 	h := e.w.Header()
 	forward.CopyHeaders(h, a.res.Header)
 	e.d.Protocol.HideUpstreamHead(h)
+	e.beforeResponse()
 	e.w.WriteHeader(a.res.StatusCode)
 	if _, err := e.w.Write(a.body); err != nil {
 		return
@@ -62,6 +64,7 @@
 		e.d.Protocol.WriteRetryAfter(h, max(c.RetryAfter, failureRetryAfter))
 	}
 	h.Set("Content-Length", "0")
+	e.beforeResponse()
 	e.w.WriteHeader(status)
 	name := ""
 	if e.route != nil {
--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -16,9 +15,8 @@
 )
 
 const (
-	// maxBufferedBody is the largest body of a request in bytes that is buffered; larger ones are streamed.
-	maxBufferedBody = 1 << 20
-	// maxBufferedResponse is the same for responses. It is smaller because a faulty upstream may send bytes without end.
+	// maxBufferedResponse is the largest body of a response in bytes that is buffered; larger ones are streamed. It is below
+	// maxBufferedBody because a faulty upstream may send bytes without end.
 	maxBufferedResponse = 128 << 10
 	// minRemainingTarget is the fraction of a route's target latency that must remain before the deadline for a retry.
 	minRemainingTarget = 0.25
@@ -46,6 +44,9 @@
 	// body is the whole request body, or its first part when bodyRest is set.
 	body     []byte
 	bodyRest io.Reader
+	// bodyRead is set once the whole body was read, and readingStopped if the reading of a streamed one was ended.
+	bodyRead       atomic.Bool
+	readingStopped atomic.Bool
 
 	// tried holds the addresses of the upstreams that got the request.
 	tried map[string]bool
@@ -80,7 +81,7 @@
 	}
 	e := &exchange{d: d, w: w, in: r, head: d.Protocol.ReadRequestHead(r), snapshot: d.snapshot.Load(), started: d.Clock.Now()}
 	e.target = forward.TargetOf(r)
-	if !e.matchRoute() || !e.readBody() {
+	if !e.matchRoute() || !e.readBody() || !e.admit() {
 		return
 	}
 	if e.alone {
@@ -94,6 +95,7 @@
 	defer cancel()
 	defer context.AfterFunc(d.answerCtx, cancel)()
 	e.ctx = ctx
+	defer e.stopReadingWith(ctx)()
 	defer context.AfterFunc(r.Context(), func() { e.leftAt.Store(int64(d.Clock.Now())) })()
 	d.budgets.deposit(e.pool, e.started)
 	e.forward()
@@ -113,7 +115,7 @@
 
 // callerLeft reports whether the caller closed its connection and the request is to be given up.
 func (e *exchange) callerLeft() bool {
-	if e.in.Context().Err() == nil {
+	if e.in.Context().Err() == nil || e.isReadingStopped() {
 		return false
 	}
 	if e.route.Idempotent {
@@ -177,38 +179,6 @@
 // noConfigurationRetryAfter is the time in which a daemon that has just started is expected to load its configuration.
 const noConfigurationRetryAfter = daisygap.Millis(300)
 
-// readBody buffers the body so that it can be sent again, or the first part of a large one, and computes the fingerprint.
-// It returns false when it refused the request.
-func (e *exchange) readBody() bool {
-	if e.in.ContentLength != 0 {
-		limit := e.snapshot.config.Limits.BodyBytes
-		if limit > 0 {
-			e.in.Body = http.MaxBytesReader(e.w, e.in.Body, limit)
-		}
-		body, err := io.ReadAll(io.LimitReader(e.in.Body, maxBufferedBody+1))
-		var tooLarge *http.MaxBytesError
-		switch {
-		case errors.As(err, &tooLarge):
-			e.refuse(http.StatusRequestEntityTooLarge, daisygap.ReasonTooLarge, placement.Choice{})
-			return false
-		case err != nil:
-			e.refuse(http.StatusBadRequest, daisygap.ReasonBadRequest, placement.Choice{})
-			return false
-		}
-		e.body = body
-		if len(body) > maxBufferedBody {
-			e.bodyRest = e.in.Body
-		}
-	}
-	h := xxhash.New()
-	for _, field := range []string{e.in.Method, e.in.Host, e.target.String(), e.head.AffinityKey} {
-		_, _ = h.WriteString(field + "\x00")
-	}
-	_, _ = h.Write(e.body)
-	e.fingerprint = h.Sum64()
-	return e.admit()
-}
-
 // admit refuses the request if it is blocked, and returns false then.
 func (e *exchange) admit() bool {
 	e.d.awaitCrashSync(e.in.Context())
--- a/internal/standin/instance/server.go
+++ b/internal/standin/instance/server.go
@@ -124,14 +124,14 @@
 	// OnArrival, if set, is called for every arrival.
 	OnArrival func(Arrival)
 
-	mu              sync.Mutex
-	fault           Fault
-	runs            []*Run
-	running         int
-	draining        bool
-	leaving         string
-	limit           string
-	sequence        int
+	mu       sync.Mutex
+	fault    Fault
+	runs     []*Run
+	running  int
+	draining bool
+	leaving  string
+	limit    string
+	sequence int
 	// cuts selects where CutHeader cuts, and the status of BareStatus.
 	cuts            atomic.Int64
 	startedAtMillis int64
