--- a/internal/policy/mirror/mirror.go
+++ b/internal/policy/mirror/mirror.go
@@ -117,11 +117,13 @@
 	}
 }
 
-// appendLog appends changes to the log. The first full copy starts the log, because the changes before it are unknown. A later
-// one adds the difference to the former state, so that daemons that have that state get only the difference.
+// appendLog appends changes to the log. The first full copy starts the log, because the changes before it are unknown. It may contain
+// later changes, which were made while it was read in pages. A later copy adds the difference to the former state, so that daemons that
+// have that state get only the difference.
 func (m *Mirror) appendLog(changed []daisygap.StoreEntry, u daisygap.StoreUpdate) {
 	if u.Full && m.revision == 0 {
-		m.log, m.logStart = nil, u.Revision
+		m.log = slices.DeleteFunc(slices.Clone(changed), func(e daisygap.StoreEntry) bool { return e.Revision <= u.Revision })
+		m.logStart = u.Revision
 		return
 	}
 	if (u.Full || u.Skips) && u.Revision > m.revision {
--- a/internal/policy/mirror/mirror_test.go
+++ b/internal/policy/mirror/mirror_test.go
@@ -151,3 +151,16 @@
 		t.Errorf("a copy that is two revisions behind got full=%v and %d entries, want 2 changes", u.Full, len(u.Entries))
 	}
 }
+
+// TestChangesBetweenPagesReachFollowers guards against a change that a first load in pages already contains, and that the log for other
+// daemons would therefore never get.
+func TestChangesBetweenPagesReachFollowers(t *testing.T) {
+	var m, follower Mirror
+	m.Apply(daisygap.StoreUpdate{Full: true, Revision: 10, Entries: []daisygap.StoreEntry{{Key: "a", Revision: 5}, {Key: "b", Revision: 12}}})
+	follower.Apply(daisygap.StoreUpdate{Full: true, Revision: 10, Entries: []daisygap.StoreEntry{{Key: "a", Revision: 5}, {Key: "b", Revision: 7}}})
+	m.Apply(daisygap.StoreUpdate{Revision: 13, Entries: []daisygap.StoreEntry{{Key: "b", Revision: 12}, {Key: "c", Revision: 13}}})
+	follower.Apply(m.Since(follower.Revision()))
+	if diff := cmp.Diff(m.Entries(), follower.Entries()); diff != "" {
+		t.Errorf("follower (-want +got):\n%s", diff)
+	}
+}
