--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"sync"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/daisygap/daisygap"
@@ -18,7 +21,9 @@
 	Steering daisygap.SteeringService
 	Log      daisygap.Log
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// closed is set by Close, after which no connection is served any more.
+	closed bool
 	conns  map[*jsonrpc2.Conn]bool
 	packer updatePacker
 	// polls holds, by connection, the function that cancels its latest mirror query with a wait.
@@ -31,13 +36,31 @@
 	Part    int    `json:"p"`
 }
 
-// Run accepts and serves connections until the listener is closed.
+// minAcceptPause and maxAcceptPause bound the pause after an error of the listener, such as too many open files. It doubles with each
+// error in a row.
+const (
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
+var acceptErrors = metrics.NewCounter(`daisygap_peer_accept_errors_total`)
+
+// Run accepts and serves connections until the listener or the server is closed.
 func (s *Server) Run(listener net.Listener) {
+	pause := minAcceptPause
 	for {
 		raw, err := listener.Accept()
 		if err != nil {
-			return
+			if errors.Is(err, net.ErrClosed) || s.isClosed() {
+				return
+			}
+			acceptErrors.Inc()
+			s.Log.Warnf("accepting a connection: %v; next attempt in %v", err, pause)
+			time.Sleep(pause)
+			pause = min(2*pause, maxAcceptPause)
+			continue
 		}
+		pause = minAcceptPause
 		stream := jsonrpc2.NewBufferedStream(countingConn{raw}, codec{})
 		handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed())
 		conn := jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(discardLogger{}))
@@ -45,9 +68,16 @@
 	}
 }
 
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 // Close closes all connections and waits until they are closed. It does not close the listener.
 func (s *Server) Close() {
 	s.mu.Lock()
+	s.closed = true
 	for conn := range s.conns {
 		_ = conn.Close()
 	}
@@ -55,10 +85,14 @@
 	s.wg.Wait()
 }
 
-// trackConn records a connection for Close until the connection ends.
+// trackConn records a connection for Close until the connection ends. After Close, it closes the connection.
 func (s *Server) trackConn(conn *jsonrpc2.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return
+	}
 	if s.conns == nil {
 		s.conns = make(map[*jsonrpc2.Conn]bool)
 	}
