--- a/internal/daemon/steer/crashes.go
+++ b/internal/daemon/steer/crashes.go
@@ -83,9 +83,10 @@
 	}
 }
 
-// updateCrashes applies a function to the tracker, and sends what it changed to other daemons unless that is only a suspicion.
+// updateCrashes applies a function to the tracker, and sends a crash under a request of this daemon to the others.
 func (d *Daemon) updateCrashes(f func(*poison.Tracker)) {
-	if slices.ContainsFunc(d.updateTracker(f), func(c poison.Change) bool { return c.Kind != poison.Suspected }) {
+	host := d.crashes.tracker.Host
+	if slices.ContainsFunc(d.updateTracker(f), func(c poison.Change) bool { return c.Kind == poison.Crashed && c.Host == host }) {
 		d.wakeCrashPush()
 	}
 }
--- a/internal/daemon/steer/crashprobe.go
+++ b/internal/daemon/steer/crashprobe.go
@@ -26,8 +26,8 @@
 // crashProbe finds out whether a process ended, by opening connections to it.
 type crashProbe struct {
 	started daisygap.Millis
-	// done is closed when the probe has ended.
-	done chan struct{}
+	// answered is closed when the first attempt to connect has ended.
+	answered chan struct{}
 }
 
 // probeCrash starts a probe of a process unless there was one lately.
@@ -49,14 +49,14 @@
 	if c.probes == nil {
 		c.probes = make(map[daisygap.Process]*crashProbe)
 	}
-	probe := &crashProbe{started: now, done: make(chan struct{})}
+	probe := &crashProbe{started: now, answered: make(chan struct{})}
 	c.probes[p] = probe
 	go func() {
-		defer close(probe.done)
-		if !d.connects(p, address) || !d.sleep(crashProbeDelay) {
-			return
+		connected := d.connects(p, address)
+		close(probe.answered)
+		if connected && d.sleep(crashProbeDelay) {
+			d.connects(p, address)
 		}
-		d.connects(p, address)
 	}()
 }
 
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithTimeout(e.ctx, crashVerdictWait.Duration())
 	defer cancel()
 	select {
-	case <-probe.done:
+	case <-probe.answered:
 	case <-ctx.Done():
 	}
 }
--- a/internal/daemon/steer/crashsync.go
+++ b/internal/daemon/steer/crashsync.go
@@ -30,9 +30,10 @@
 
 // crashSync is the state of the exchange of all reports after this daemon started, or was frozen or cut off.
 type crashSync struct {
-	// contact is the time of the last exchange with another daemon, or of the last attempt if none responded. It is 0 at the start.
-	contact atomic.Int64
-	mu      sync.Mutex
+	// contact is the time of the last exchange with another daemon, and wallContact the same by the time of day. They are 0 at the start.
+	contact     atomic.Int64
+	wallContact atomic.Int64
+	mu          sync.Mutex
 	// running is closed when the pending exchange ends. It is nil if there is none.
 	running chan struct{}
 	// isolated is set while no other daemon responds.
@@ -42,13 +43,15 @@
 // noteContact records an exchange with another daemon.
 func (d *Daemon) noteContact() {
 	d.crashes.sync.contact.Store(int64(d.Clock.Now()))
+	d.crashes.sync.wallContact.Store(int64(d.Clock.Wall()))
 	d.crashes.sync.isolated.Store(false)
 }
 
-// isContactStale reports whether reports of other daemons may have been missed.
+// isContactStale reports whether reports of other daemons may have been missed. The monotonic clock doesn't count the time for which a
+// machine is suspended, but the time of day does.
 func (d *Daemon) isContactStale() bool {
-	at := daisygap.Millis(d.crashes.sync.contact.Load())
-	return at == 0 || d.Clock.Now()-at > staleContact
+	at, wallAt := daisygap.Millis(d.crashes.sync.contact.Load()), daisygap.Millis(d.crashes.sync.wallContact.Load())
+	return at == 0 || d.Clock.Now()-at > staleContact || d.Clock.Wall()-wallAt > staleContact
 }
 
 // awaitCrashSync makes sure that this daemon knows the requests that other daemons block. It waits for them for a short time after the
@@ -115,18 +118,31 @@
 		if limiter.Wait(d.ctx) != nil || !d.sleep(crashPushDelay) {
 			return
 		}
-		for _, address := range d.gossipTargets(d.crashPushTargets()) {
-			go d.exchangeGossip(address)
-		}
+		d.pushCrashes()
 	}
 }
 
-// crashPushTargets returns the number of daemons that get new crash reports at once: all of a small fleet.
-func (d *Daemon) crashPushTargets() int {
-	if d.isSmallFleet() {
-		return smallFleet
+// pushCrashes sends new crash reports to all daemons of a small fleet, or to some of a large one.
+func (d *Daemon) pushCrashes() {
+	count, small := crashPushFanout, d.isSmallFleet()
+	if small {
+		count = smallFleet
+	}
+	c := &d.crashes
+	c.mu.Lock()
+	news := c.tracker.TakeNews(!small, d.Clock.Now())
+	c.mu.Unlock()
+	if len(news) == 0 {
+		return
+	}
+	for _, address := range d.gossipTargets(count) {
+		go func() {
+			// A daemon that doesn't respond gets the reports by gossip once it does.
+			if _, err := d.Peers.Gossip(address, daisygap.Gossip{Crashes: news, CrashesOnly: true}); err == nil {
+				d.noteContact()
+			}
+		}()
 	}
-	return crashPushFanout
 }
 
 func (d *Daemon) isSmallFleet() bool {
--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -302,7 +302,7 @@
 		return false
 	}
 	e.awaitCrashVerdict(a)
-	if now = e.d.Clock.Now(); e.d.crashes.blocked(e.fingerprint, now) || !e.endsBeforeStop(now) {
+	if now = e.d.Clock.Now(); e.ctx.Err() != nil || e.d.crashes.blocked(e.fingerprint, now) || !e.endsBeforeStop(now) {
 		return false
 	}
 	if e.reached > 0 && !e.d.budgets.tryWithdraw(e.pool, now) {
--- a/internal/daemon/steer/gossip.go
+++ b/internal/daemon/steer/gossip.go
@@ -115,6 +115,10 @@
 
 // ServeGossip merges another daemon's gossip and returns this daemon's.
 func (d *Daemon) ServeGossip(g daisygap.Gossip) daisygap.Gossip {
+	if g.CrashesOnly {
+		d.mergeCrashes(g)
+		return daisygap.Gossip{}
+	}
 	d.mergeGossip(g)
 	return d.nextGossip(g.AllCrashes)
 }
--- a/internal/policy/poison/exchange.go
+++ b/internal/policy/poison/exchange.go
@@ -6,8 +6,17 @@
 	"github.com/daisygap/daisygap"
 )
 
-// maxShared bounds the reports in one message.
-const maxShared = 512
+const (
+	// maxShared bounds the reports in a message with all of them, maxRecent those on suspects in another message, and maxBlocked those
+	// on blocked requests there.
+	maxShared  = 512
+	maxRecent  = 32
+	maxBlocked = 64
+	// maxSends is how often a change is sent. With as many messages from each daemon that has it, it reaches nearly all.
+	maxSends = 8
+	// maxNews bounds the reports in a message that is sent at once.
+	maxNews = 64
+)
 
 // maxReportAge is the age from which on another daemon's report is ignored.
 const maxReportAge = blockedRetention - daisygap.Millis(60_000)
@@ -41,6 +50,9 @@
 const maxChanges = 256
 
 func (t *Tracker) change(c Change) {
+	if c.Kind == Crashed && len(t.news) < maxNews {
+		t.news = append(t.news, c)
+	}
 	if len(t.changes) < maxChanges {
 		t.changes = append(t.changes, c)
 	}
@@ -79,30 +91,47 @@
 	return news
 }
 
-// Reports returns what changed in the last reportPeriod and all reports on blocked requests, or everything if all is set, up to
-// maxShared reports.
+// TakeNews returns the new reports on crashes that haven't been returned before: those of this daemon, or also those of others, which
+// this one forwards.
+func (t *Tracker) TakeNews(forward bool, now daisygap.Millis) []daisygap.CrashReport {
+	var list []daisygap.CrashReport
+	for _, c := range t.news {
+		if forward || c.Host == t.Host {
+			if r := t.find(c.Fingerprint, now); r != nil {
+				list = append(list, r.shared(c.Process, now)...)
+			}
+		}
+	}
+	t.news = nil
+	return list
+}
+
+// Reports returns the reports on blocked requests and the changes of the last reportPeriod that haven't been sent often, or everything if
+// all is set.
 func (t *Tracker) Reports(all bool, now daisygap.Millis) ([]daisygap.CrashReport, []daisygap.AnswerReport) {
 	var crashes []daisygap.CrashReport
 	var answers []daisygap.AnswerReport
-	collect := func(l *list.List, whole bool) {
-		for e := l.Front(); e != nil && len(crashes)+len(answers) < maxShared; e = e.Next() {
+	collect := func(l *list.List, whole bool, limit int) {
+		if all {
+			limit = maxShared
+		}
+		limit += len(crashes) + len(answers)
+		for e := l.Front(); e != nil && len(crashes)+len(answers) < limit; e = e.Next() {
 			r := e.Value.(*record)
 			if !whole && now-r.changed >= reportPeriod {
 				return
 			}
+			if !whole && r.sends >= maxSends {
+				continue
+			}
+			r.sends++
 			if r.answered != never && (whole || now-r.answerChanged < reportPeriod) {
 				answers = append(answers, daisygap.AnswerReport{Fingerprint: r.fingerprint, SentAge: now - r.answered})
 			}
-			for _, x := range r.reports {
-				if x.broken > r.answered {
-					c := x.CrashReport
-					c.Age = now - x.broken
-					crashes = append(crashes, c)
-				}
-			}
+			crashes = append(crashes, r.shared(daisygap.Process{}, now)...)
 		}
 	}
-	collect(&t.blocked, true)
-	collect(&t.suspects, all)
+	collect(&t.blocked, true, maxBlocked)
+	collect(&t.suspects, all, maxRecent)
 	return crashes, answers
 }
--- a/internal/policy/poison/report.go
+++ b/internal/policy/poison/report.go
@@ -59,6 +59,19 @@
 	return last
 }
 
+// shared returns the reports for other daemons that still count, on one process or, if its ID is empty, on all.
+func (r *record) shared(p daisygap.Process, now daisygap.Millis) []daisygap.CrashReport {
+	var list []daisygap.CrashReport
+	for _, x := range r.reports {
+		if x.broken > r.answered && (p.ID == "" || x.Process == p) {
+			c := x.CrashReport
+			c.Age = now - x.broken
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
 // insert adds a report in the order of the broken connections. It drops reports that no longer count, and one that counts least if
 // there are too many.
 func (r *record) insert(x report, now daisygap.Millis) {
--- a/internal/policy/poison/tracker.go
+++ b/internal/policy/poison/tracker.go
@@ -65,6 +65,8 @@
 	blocked   list.List
 	processes processes
 	changes   []Change
+	// news holds the crashes that TakeNews hasn't returned.
+	news []Change
 }
 
 // record holds the reports on one request.
@@ -83,6 +85,8 @@
 	// changed is the time of the latest change, and answerChanged that of the latest new answer.
 	changed       daisygap.Millis
 	answerChanged daisygap.Millis
+	// sends is how often the latest change was sent to other daemons.
+	sends int
 }
 
 // Len returns the number of requests on which the tracker holds reports.
@@ -165,7 +169,7 @@
 		return
 	}
 	before := r.weight(endedOnly)
-	r.answered, r.answerChanged, r.changed = sent, now, now
+	r.answered, r.answerChanged, r.changed, r.sends = sent, now, now, 0
 	after := r.weight(endedOnly)
 	if sent >= r.until || after < before && after < blockWeight {
 		r.blocked, r.trialSince = false, 0
@@ -221,7 +225,7 @@
 
 // update blocks a request if its crashes suffice, after its reports have changed.
 func (t *Tracker) update(r *record, now daisygap.Millis) {
-	r.changed = now
+	r.changed, r.sends = now, 0
 	last, weight := r.lastCrash(), r.weight(endedOnly)
 	if weight >= blockWeight || r.blocked && weight > 0 && last > r.until {
 		duration := firstBlock << min(maxDoublings, max(0, weight-blockWeight))
