--- a/internal/adapter/caller/inbound.go
+++ b/internal/adapter/caller/inbound.go
@@ -7,8 +7,8 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 
--- a/internal/adapter/settings/load.go
+++ b/internal/adapter/settings/load.go
@@ -93,6 +93,9 @@
 // namedAddress is an address with the name of its setting.
 type namedAddress struct{ name, value string }
 
+// minMemoryMB is the least memory with which a daemon serves.
+const minMemoryMB = 32
+
 // maxGCPercent bounds the growth of the heap between two collections.
 const maxGCPercent = 1_000
 
@@ -102,6 +105,8 @@
 		return &daisygap.FieldError{Field: "steering.domains", Want: "the region of each domain, including " + domain, Got: ""}
 	case s.RetryRatio < 0 || s.RetryRatio > 1:
 		return &daisygap.FieldError{Field: "steering.ratio", Want: "a fraction from 0 to 1", Got: strconv.FormatFloat(s.RetryRatio, 'g', -1, 64)}
+	case s.MemoryMB < 0 || s.MemoryMB > 0 && s.MemoryMB < minMemoryMB:
+		return &daisygap.FieldError{Field: "steering.memory", Want: fmt.Sprintf("0 or at least %d megabytes", minMemoryMB), Got: strconv.Itoa(s.MemoryMB)}
 	case s.GCPercent < 0 || s.GCPercent > maxGCPercent:
 		return &daisygap.FieldError{Field: "steering.gc", Want: fmt.Sprintf("a percentage from 0 to %d", maxGCPercent), Got: strconv.Itoa(s.GCPercent)}
 	}
--- a/internal/adapter/settings/load_test.go
+++ b/internal/adapter/settings/load_test.go
@@ -58,6 +58,7 @@
 		{`"10s"`, `"soon"`, `host.json: steering.window: expected a duration with a unit, found soon`},
 		{`"ratio": 0.2`, `"ratio": 2`, `host.json: steering.ratio: expected a fraction from 0 to 1, found 2`},
 		{`"gc": 25`, `"gc": -1`, `host.json: steering.gc: expected a percentage from 0 to 1000, found -1`},
+		{`"gc": 25`, `"gc": 25, "memory": 8`, `host.json: steering.memory: expected 0 or at least 32 megabytes, found 8`},
 		{`"gc": 25`, `"gc": 1001`, `host.json: steering.gc: expected a percentage from 0 to 1000, found 1001`},
 		{`"grace": "6s"`, `"grace": null`, `host.json: steering.grace: expected a duration with a unit, above 0`},
 		{`"domain": "north-a"`, `"domain": "west"`, `host.json: steering.domains: expected the region of each domain, including west`},
--- a/internal/daemon/steer/attempt.go
+++ b/internal/daemon/steer/attempt.go
@@ -42,6 +42,8 @@
 	head   daisygap.ResponseHead
 	res    *http.Response
 	body   []byte
+	// reserved is the memory in bytes that is reserved for the body.
+	reserved int64
 	// closeConn closes the upstream connection, and cancel releases the attempt's context.
 	closeConn func()
 	cancel    context.CancelFunc
@@ -185,13 +187,14 @@
 		a.discard(errors.New("success response has no upstream stamp or is content-encoded"))
 		return
 	}
-	body, err := readStart(a.res)
+	limit := e.reserveResponse(a, a.res.ContentLength)
+	body, err := readStart(a.res, limit)
 	switch {
 	case err != nil:
 		a.discard(err)
-	case len(body) > maxBufferedResponse && a.res.StatusCode >= http.StatusMultipleChoices:
-		a.discard(fmt.Errorf("body of a response with status %d exceeds %d bytes", a.res.StatusCode, maxBufferedResponse))
-	case len(body) > maxBufferedResponse:
+	case len(body) > limit && a.res.StatusCode >= http.StatusMultipleChoices:
+		a.discard(fmt.Errorf("body of a response with status %d exceeds %d bytes", a.res.StatusCode, limit))
+	case len(body) > limit:
 		a.state, a.body = streaming, body
 	default:
 		a.state, a.body = complete, body
@@ -202,17 +205,20 @@
 // bodyBuffers holds buffers for the bodies of responses without a length.
 var bodyBuffers = sync.Pool{New: func() any { return new([maxBufferedResponse + 1]byte) }}
 
-// readStart reads the body of a response, or its first maxBufferedResponse+1 bytes if it is longer. It allocates no more than it
-// returns.
-func readStart(res *http.Response) ([]byte, error) {
+// readStart reads the body of a response, or its first limit+1 bytes if it is longer. It allocates no more than it returns. The limit
+// is at most maxBufferedResponse.
+func readStart(res *http.Response, limit int) ([]byte, error) {
 	if res.Body == http.NoBody {
 		return nil, nil
 	}
 	if n := res.ContentLength; n >= 0 {
-		body := make([]byte, min(n, maxBufferedResponse+1))
+		body := make([]byte, min(n, int64(limit)+1))
 		_, err := io.ReadFull(res.Body, body)
 		return body, err
 	}
+	if limit < maxBufferedResponse {
+		return io.ReadAll(io.LimitReader(res.Body, int64(limit)+1))
+	}
 	buffer := bodyBuffers.Get().(*[maxBufferedResponse + 1]byte)
 	for n := 0; n < len(buffer); {
 		m, err := res.Body.Read(buffer[n:])
--- a/internal/daemon/steer/body.go
+++ b/internal/daemon/steer/body.go
@@ -15,8 +15,14 @@
 )
 
 const (
+	// minBodyBuffer is the size in bytes of the first buffer for a body. It grows with what arrives.
+	minBodyBuffer = 4 << 10
 	// maxBufferedBody is the largest body of a request in bytes that is buffered; larger ones are streamed.
 	maxBufferedBody = 1 << 20
+	// minStreamedBody is the number of bytes of a larger body that are buffered before the rest is streamed.
+	minStreamedBody = 64 << 10
+	// memoryRetryAfter is the Retry-After for a request for whose body there is no memory. Bodies leave within the time of a request.
+	memoryRetryAfter = daisygap.Millis(500)
 	// discardTime bounds the reading of the rest of a body that isn't needed.
 	discardTime = daisygap.Millis(50)
 )
@@ -30,13 +36,12 @@
 			e.in.Body = http.MaxBytesReader(e.w, e.in.Body, limit)
 		}
 		e.setReadDeadline(e.deadline)
-		body, err := io.ReadAll(io.LimitReader(e.in.Body, maxBufferedBody+1))
+		whole, err := e.bufferBody()
 		if err != nil {
 			e.refuseBody(err)
 			return false
 		}
-		e.body = body
-		if len(body) > maxBufferedBody {
+		if !whole {
 			e.bodyRest = restReader{e}
 			// The end of the exchange ends the reading, and this only bounds it.
 			e.setReadDeadline(e.deadline + discardTime)
@@ -55,6 +60,50 @@
 	return true
 }
 
+// errMemoryFull is returned when the budget has no room for a body.
+var errMemoryFull = errors.New("no memory for the body")
+
+// bufferBody reads the body up to maxBufferedBody bytes, and reports whether that is all of it. If the budget allows no more, it reads
+// less of a body of which a useful part is buffered, so that the rest is streamed.
+func (e *exchange) bufferBody() (whole bool, err error) {
+	for {
+		if len(e.body) == cap(e.body) {
+			if len(e.body) >= maxBufferedBody {
+				return false, nil
+			}
+			if !e.growBody() {
+				if len(e.body) >= minStreamedBody {
+					return false, nil
+				}
+				return false, errMemoryFull
+			}
+		}
+		n, err := e.in.Body.Read(e.body[len(e.body):cap(e.body)])
+		e.body = e.body[:len(e.body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return true, nil
+		case err != nil:
+			return false, err
+		}
+	}
+}
+
+// growBody doubles the buffer of the body, or allocates the first one. It returns false if the budget has no room for it.
+func (e *exchange) growBody() bool {
+	size := max(minBodyBuffer, 2*cap(e.body))
+	if n := e.in.ContentLength; n > 0 {
+		// One more byte lets the reader find the end of the body.
+		size = min(size, int(min(n, maxBufferedBody))+1)
+	}
+	size = min(size, maxBufferedBody)
+	if !e.takeBytes(int64(size - cap(e.body))) {
+		return false
+	}
+	e.body = append(make([]byte, 0, size), e.body...)
+	return true
+}
+
 // endBody records that the whole body was read.
 func (e *exchange) endBody() {
 	e.bodyRead.Store(true)
@@ -78,6 +127,8 @@
 func (e *exchange) refuseBody(err error) {
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errMemoryFull):
+		e.refuse(http.StatusServiceUnavailable, daisygap.ReasonMemoryFull, placement.Choice{RetryAfter: memoryRetryAfter})
 	case errors.As(err, &tooLarge):
 		e.refuse(http.StatusRequestEntityTooLarge, daisygap.ReasonTooLarge, placement.Choice{})
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/adapter/upstream"
 	"github.com/daisygap/daisygap/internal/policy/placement"
+	"github.com/daisygap/daisygap/internal/policy/quota"
 	"github.com/daisygap/daisygap/internal/policy/route"
 )
 
@@ -39,6 +40,7 @@
 	fleet    placement.Fleet
 	splitter route.Splitter
 
+	memory       quota.Bytes
 	replica      storeReplica
 	membership   membership
 	budgets      retryBudgets
@@ -73,6 +75,7 @@
 		},
 		StartTime: int64(d.Clock.Wall()),
 	}
+	d.memory.Limit = memoryBudget(s.Steering.MemoryMB)
 	d.registration.wake = make(chan struct{}, 1)
 	d.crashes.wake = make(chan struct{}, 1)
 	d.crashes.tracker.Host = s.Host + "." + d.membership.roster.Self.Peer.Incarnation
--- a/internal/daemon/steer/deliver.go
+++ b/internal/daemon/steer/deliver.go
@@ -43,7 +43,9 @@
 	if _, err := e.w.Write(a.body); err != nil {
 		return
 	}
-	a.body = nil // the rest of the response may take long
+	// The rest of the response may take long.
+	a.body = nil
+	e.held.give(&e.d.memory, a.reserved)
 	if _, err := io.Copy(e.w, a.res.Body); err != nil {
 		a.err = err
 		e.abort("answer broke off", a)
--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -48,6 +48,8 @@
 	bodyRead       atomic.Bool
 	readingStopped atomic.Bool
 
+	// held is the memory for the bodies of the request and its responses.
+	held reservation
 	// tried holds the addresses of the upstreams that got the request.
 	tried map[string]bool
 	// possibleRuns counts the upstreams that may have executed the request, and unreachable those to which no connection could
@@ -81,6 +83,7 @@
 	}
 	e := &exchange{d: d, w: w, in: r, head: d.Protocol.ReadRequestHead(r), snapshot: d.snapshot.Load(), started: d.Clock.Now()}
 	e.target = forward.TargetOf(r)
+	defer e.held.end(&d.memory)
 	if !e.matchRoute() || !e.readBody() || !e.admit() {
 		return
 	}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -43,8 +43,10 @@
 	Log     *logrus.Logger
 	// MirrorDelay is how long a daemon that got an update waits until it asks for the next one.
 	MirrorDelay time.Duration
-	Store       *store.Server
-	Clock       *daisygap.Clock
+	// MemoryMB is the memory setting of the daemons.
+	MemoryMB int
+	Store    *store.Server
+	Clock    *daisygap.Clock
 
 	storeServer *httptest.Server
 	version     uint64
@@ -167,7 +169,7 @@
 	settings := &daisygap.Settings{
 		Host: name, Domain: domain, Region: s.Regions[domain], Peers: peers, StoreAddress: s.storeServer.URL,
 		Steering: &daisygap.SteeringSettings{
-			Domains: s.Regions, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: "10s", Grace: "6s",
+			Domains: s.Regions, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: "10s", Grace: "6s", MemoryMB: s.MemoryMB,
 		},
 	}
 	for _, address := range []*string{&settings.CallerAddress, &settings.PeerAddress, &settings.Steering.DirectoryAddress, &settings.Steering.ReadyAddress} {
--- a/refusal.go
+++ b/refusal.go
@@ -27,6 +27,7 @@
 	ReasonUpstreamShed    Reason = "upstream_shed"
 	ReasonSlow            Reason = "slow"
 	ReasonStopping        Reason = "stopping"
+	ReasonMemoryFull      Reason = "memory_full"
 )
 
 // RunState states whether a refused request may have been run by an upstream.
--- a/settings.go
+++ b/settings.go
@@ -45,6 +45,8 @@
 	RetryWindow Span    `json:"window"`
 	// Grace is the time from SIGTERM until the process is killed.
 	Grace Span `json:"grace"`
+	// MemoryMB is the memory in megabytes that the process may use, or 0 if it isn't limited.
+	MemoryMB int `json:"memory,omitempty"`
 	// GCPercent is the growth of the heap in percent at which the garbage collector runs, or 0 for Go's default. A small value
 	// saves memory at the cost of processor time.
 	GCPercent int `json:"gc,omitempty"`
