--- a/internal/command/serve/serve.go
+++ b/internal/command/serve/serve.go
@@ -53,12 +53,16 @@
 
 // Execute runs the daemon until it is stopped by a signal.
 func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	// A SIGHUP that comes before would end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	s, err := settings.Load(c.settingsFile)
 	if err != nil {
 		return c.Output.Fail(err)
 	}
 	if s.Steering != nil {
-		return c.serveSteering(ctx, s)
+		return c.serveSteering(ctx, s, hangups)
 	}
 	listeners, maintain, err := buildEntry(s, c.newTextLog(s))
 	if err != nil {
@@ -72,6 +76,7 @@
 	listeners.Daemon.Run(ctx)
 	listeners.Run()
 	go maintain(ctx)
+	go c.reload(ctx, hangups, listeners.Daemon.Log)
 	return c.awaitStop(listeners, cancel)
 }
 
--- a/internal/command/serve/steer.go
+++ b/internal/command/serve/steer.go
@@ -50,7 +50,7 @@
 )
 
 // serveSteering runs the daemon on the platform until it is stopped by a signal.
-func (c *Command) serveSteering(ctx context.Context, s *daisygap.Settings) subcommands.ExitStatus {
+func (c *Command) serveSteering(ctx context.Context, s *daisygap.Settings, hangups <-chan os.Signal) subcommands.ExitStatus {
 	if s.Steering.GCPercent > 0 {
 		debug.SetGCPercent(s.Steering.GCPercent)
 	}
@@ -66,7 +66,7 @@
 	listeners.Daemon.CaptureLibraryLog()
 	listeners.Daemon.Run(ctx)
 	listeners.Run()
-	go c.reload(ctx, listeners.Daemon)
+	go c.reload(ctx, hangups, listeners.Daemon.Log)
 	grace, err := s.Steering.Grace.Millis()
 	if err != nil {
 		return c.Output.Fail(err)
@@ -103,21 +103,18 @@
 }
 
 // reload validates the settings file on SIGHUP. It doesn't apply the file, since the settings of a running daemon are fixed.
-func (c *Command) reload(ctx context.Context, d *steer.Daemon) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func (c *Command) reload(ctx context.Context, hangups <-chan os.Signal, log daisygap.Log) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-hangups:
 		}
 		if _, err := settings.Load(c.settingsFile); err != nil {
-			d.Log.Event("reload refused", daisygap.Fields{"error": err.Error()})
+			log.Event("reload refused", daisygap.Fields{"error": err.Error()})
 			continue
 		}
-		d.Log.Event("reload", daisygap.Fields{"file": c.settingsFile})
+		log.Event("reload", daisygap.Fields{"file": c.settingsFile})
 	}
 }
 
