--- a/internal/daemon/steer/attempt.go
+++ b/internal/daemon/steer/attempt.go
@@ -70,14 +70,9 @@
 	a := &attempt{choice: c, cancel: cancel, started: started}
 	conn := &attemptConn{clock: e.d.Clock}
 	a.closeConn = conn.close
-	// A request that outlives its caller once it is sent is given up before.
-	defer context.AfterFunc(e.in.Context(), func() {
-		time.AfterFunc(unsentGrace.Duration(), func() {
-			if conn.conn.Load() == nil {
-				cancel()
-			}
-		})
-	})()
+	if !e.route.Idempotent {
+		defer e.giveUpUnsent(conn, cancel)()
+	}
 	res, err := e.d.Upstream.Send(httptrace.WithClientTrace(ctx, conn.trace()), e.upstreamRequest(c), false)
 	if err != nil {
 		a.fail(err)
@@ -93,6 +88,18 @@
 	return a
 }
 
+// giveUpUnsent cancels an attempt that has no connection yet unsentGrace after the caller has left. Once sent, the request outlives its
+// caller.
+func (e *exchange) giveUpUnsent(conn *attemptConn, cancel context.CancelFunc) (stop func() bool) {
+	return context.AfterFunc(e.in.Context(), func() {
+		time.AfterFunc(unsentGrace.Duration(), func() {
+			if conn.conn.Load() == nil {
+				cancel()
+			}
+		})
+	})
+}
+
 // countAttempt adds an attempt's outcome to what the request may already have caused at upstreams.
 func (e *exchange) countAttempt(state attemptState) {
 	switch state {
@@ -262,14 +269,11 @@
 	switch {
 	case a.superseded || e.in.Context().Err() != nil && (e.route.Idempotent || a.state != complete):
 		o.Result = placement.Canceled
+	case a.state == unreachable && e.ctx.Err() != nil:
+		o.Result = placement.Canceled
 	case a.state == unreachable:
 		o.Result = placement.Unreachable
-		if e.ctx.Err() != nil {
-			o.Result = placement.Canceled
-		}
-		if o.Result == placement.Unreachable {
-			d.recordUnreachable(processOf(c.Upstream), a.err)
-		}
+		d.recordUnreachable(processOf(c.Upstream), a.err)
 	case a.state == notExecuted:
 		o.Result = placement.Shed
 		if a.head.Misdirected {
--- a/internal/policy/poison/report.go
+++ b/internal/policy/poison/report.go
@@ -72,12 +72,9 @@
 	return list
 }
 
-// insert adds a report in the order of the broken connections. It drops reports that no longer count, and one that counts least if
-// there are too many.
+// insert adds a report in the order of the broken connections. If there are too many, it drops one that counts least.
 func (r *record) insert(x report, now daisygap.Millis) {
-	r.reports = slices.DeleteFunc(r.reports, func(old report) bool {
-		return old.broken <= r.answered || !old.Ended && now-old.broken >= confirmWindow
-	})
+	r.forget(now)
 	if len(r.reports) >= maxReports {
 		r.reports = slices.Delete(r.reports, r.leastUseful(), r.leastUseful()+1)
 	}
@@ -86,6 +83,13 @@
 	slices.SortStableFunc(r.reports, func(a, b report) int { return cmp.Compare(a.broken, b.broken) })
 }
 
+// forget drops the reports that no longer count.
+func (r *record) forget(now daisygap.Millis) {
+	r.reports = slices.DeleteFunc(r.reports, func(x report) bool {
+		return x.broken <= r.answered || !x.Ended && now-x.broken >= confirmWindow
+	})
+}
+
 // align converts the times of a daemon's reports with the same difference between the clocks, so that they keep their order. The report
 // that was the shortest time on the way gives the best estimate of it.
 func (r *record) align(host string) {
--- a/internal/policy/poison/tracker.go
+++ b/internal/policy/poison/tracker.go
@@ -168,12 +168,16 @@
 	if r == nil || sent <= r.answered {
 		return
 	}
-	before := r.weight(endedOnly)
-	r.answered, r.answerChanged, r.changed, r.sends = sent, now, now, 0
+	before, reports := r.weight(endedOnly), len(r.reports)
+	r.answered = sent
+	r.forget(now)
 	after := r.weight(endedOnly)
-	if sent >= r.until || after < before && after < blockWeight {
-		r.blocked, r.trialSince = false, 0
+	unblocked := r.blocked && (sent >= r.until || after < before && after < blockWeight)
+	if !unblocked && len(r.reports) == reports {
+		return
 	}
+	r.blocked, r.trialSince = r.blocked && !unblocked, 0
+	r.answerChanged, r.changed, r.sends = now, now, 0
 	t.place(r)
 	if after < before {
 		t.change(Change{Kind: Answered, Fingerprint: fingerprint, Weight: after})
--- a/internal/policy/poison/tracker_test.go
+++ b/internal/policy/poison/tracker_test.go
@@ -61,6 +61,22 @@
 	}
 }
 
+// TestAnswersOfClearedRequestAreNotShared guards against messages that name each popular request under which an upstream once crashed.
+func TestAnswersOfClearedRequestAreNotShared(t *testing.T) {
+	tr := Tracker{Host: "a"}
+	tr.Break(crash(7, "a", 100), 100)
+	tr.Answer(7, 110, 120)
+	if _, answers := tr.Reports(false, 130); len(answers) != 1 {
+		t.Errorf("%d answers are shared after the first one, want 1", len(answers))
+	}
+	for now := daisygap.Millis(1_000); now < 10_000; now += 100 {
+		tr.Answer(7, now, now+10)
+	}
+	if _, answers := tr.Reports(false, 10_000); len(answers) != 0 {
+		t.Errorf("%d answers are shared long after the crash, want 0", len(answers))
+	}
+}
+
 func TestUnconfirmedBreaksDoNotBlock(t *testing.T) {
 	tr := Tracker{Host: "a"}
 	for i := range 5 {
