--- a/gossip.go
+++ b/gossip.go
@@ -40,6 +40,9 @@
 	Age Millis `json:"a"`
 	// Ended reports whether the process is known to have ended, so that the request may have crashed it.
 	Ended bool `json:"d,omitempty"`
+	// Survived reports whether the process accepted a connection some time later. Unless another process had replaced it by then, the
+	// request didn't crash it.
+	Survived bool `json:"v,omitempty"`
 	// Alone reports whether no other suspected request ran at the process.
 	Alone bool `json:"o,omitempty"`
 }
--- a/internal/daemon/steer/attempt.go
+++ b/internal/daemon/steer/attempt.go
@@ -18,6 +18,7 @@
 	"github.com/daisygap/daisygap/internal/adapter/forward"
 	"github.com/daisygap/daisygap/internal/adapter/upstream"
 	"github.com/daisygap/daisygap/internal/policy/placement"
+	"github.com/daisygap/daisygap/internal/policy/poison"
 )
 
 // attemptState classifies the outcome of an attempt.
@@ -278,7 +279,7 @@
 		o.Result = placement.Shed
 		if a.head.Misdirected {
 			o.Result = placement.Misdirected
-			d.recordEnd(processOf(c.Upstream), evidenceMisdirected, now)
+			d.recordEnd(processOf(c.Upstream), poison.Misdirected, now)
 		}
 	case a.state == outcomeUnknown:
 		o.Result = placement.Failed
--- a/internal/daemon/steer/crashes.go
+++ b/internal/daemon/steer/crashes.go
@@ -147,14 +147,7 @@
 	d.probeCrash(r.Process, u.Address)
 }
 
-// The evidence that a process ended.
-const (
-	evidenceRefused     = "connection refused"
-	evidenceMisdirected = "another instance answers"
-	evidenceStore       = "store"
-)
-
 // recordEnd records evidence that a process ended.
-func (d *Daemon) recordEnd(p daisygap.Process, evidence string, now daisygap.Millis) {
+func (d *Daemon) recordEnd(p daisygap.Process, evidence poison.Evidence, now daisygap.Millis) {
 	d.updateCrashes(func(t *poison.Tracker) { t.End(p, evidence, now) })
 }
--- a/internal/daemon/steer/crashprobe.go
+++ b/internal/daemon/steer/crashprobe.go
@@ -54,8 +54,8 @@
 	go func() {
 		connected := d.connects(p, address)
 		close(probe.answered)
-		if connected && d.sleep(crashProbeDelay) {
-			d.connects(p, address)
+		if connected && d.sleep(crashProbeDelay) && d.connects(p, address) {
+			d.updateTracker(func(t *poison.Tracker) { t.Survive(p, d.Clock.Now()) })
 		}
 	}()
 }
@@ -75,10 +75,10 @@
 func (d *Daemon) recordUnreachable(p daisygap.Process, err error) {
 	now := d.Clock.Now()
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		d.recordEnd(p, evidenceRefused, now)
+		d.recordEnd(p, poison.Refused, now)
 		return
 	}
-	d.updateCrashes(func(t *poison.Tracker) { t.Unreachable(p, now) })
+	d.updateCrashes(func(t *poison.Tracker) { t.FailDial(p, now) })
 }
 
 // awaitCrashVerdict waits for the probe of the process at which an attempt broke, if it isn't the first connection in a row that
--- a/internal/daemon/steer/replica.go
+++ b/internal/daemon/steer/replica.go
@@ -10,6 +10,7 @@
 
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/policy/mirror"
+	"github.com/daisygap/daisygap/internal/policy/poison"
 	"github.com/daisygap/daisygap/internal/policy/route"
 )
 
@@ -144,7 +145,7 @@
 	}
 	if e.Deleted {
 		if _, lapsed := r.lapsed[e.Key]; !lapsed {
-			d.noteProcessEnd(r.decoded[e.Key].Instance)
+			d.noteProcessEnd(r.decoded[e.Key].Instance, poison.Removed)
 			delete(r.decoded, e.Key)
 			d.Log.Event("entry ended", daisygap.Fields{"key": e.Key, "revision": e.Revision, "from": source, "age_ms": e.Age})
 		}
@@ -180,10 +181,10 @@
 	d.logDecoded(e, decoded, source)
 }
 
-// noteProcessEnd records that the store removed the entry of a process that hadn't announced its departure.
-func (d *Daemon) noteProcessEnd(i *daisygap.Instance) {
+// noteProcessEnd records that the store shows the end of a process that hadn't announced its departure.
+func (d *Daemon) noteProcessEnd(i *daisygap.Instance, evidence poison.Evidence) {
 	if i != nil && !i.Draining {
-		d.recordEnd(daisygap.Process{ID: i.ID, StartTime: i.StartTime}, evidenceStore, d.Clock.Now())
+		d.recordEnd(daisygap.Process{ID: i.ID, StartTime: i.StartTime}, evidence, d.Clock.Now())
 	}
 }
 
@@ -195,7 +196,7 @@
 	}
 	for _, x := range d.replica.decoded {
 		if o := x.Instance; o != nil && (o == old && o.StartTime != i.StartTime || o.Address == i.Address && o.ID != i.ID) {
-			d.noteProcessEnd(o)
+			d.noteProcessEnd(o, poison.Replaced)
 		}
 	}
 }
--- a/internal/policy/poison/exchange.go
+++ b/internal/policy/poison/exchange.go
@@ -40,7 +40,7 @@
 	Process     daisygap.Process
 	// Host is the daemon that sent the request, and Evidence what showed that the process ended.
 	Host     string
-	Evidence string
+	Evidence Evidence
 	// Weight is that of the crashes in a row, and For the duration of the block.
 	Weight int
 	For    daisygap.Millis
@@ -76,7 +76,7 @@
 		broken := now - c.Age
 		known := t.processes.broken(c.Process, c.Fingerprint, broken, now)
 		if c.Ended && !known && c.Age < confirmWindow {
-			t.End(c.Process, "peer", now)
+			t.End(c.Process, Reported, now)
 		}
 		c.Ended = c.Ended || known
 		if t.add(report{CrashReport: c, sent: broken - (c.Broken - c.Sent), broken: broken}, now) {
--- a/internal/policy/poison/model_test.go
+++ b/internal/policy/poison/model_test.go
@@ -23,6 +23,8 @@
 	modelAnswer  = daisygap.Millis(30)
 	// modelLapse is the time from the end of a process to the end of its entry in the store.
 	modelLapse = daisygap.Millis(4_500)
+	// modelSecondDial is the time between the two dials of a probe.
+	modelSecondDial = daisygap.Millis(100)
 )
 
 // model simulates daemons that send a request which crashes each server that runs it, beside requests that don't.
@@ -200,15 +202,15 @@
 			s.process.ID = fmt.Sprintf("%s.%d", s.process.ID, s.life)
 		}
 		// The new process registers at once.
-		m.after(20, func() { m.end(old) })
+		m.after(20, func() { m.end(old, Replaced) })
 	})
-	m.after(modelLapse, func() { m.end(old) })
+	m.after(modelLapse, func() { m.end(old, Removed) })
 }
 
 // end records at all daemons that the store shows the end of a process.
-func (m *model) end(p daisygap.Process) {
+func (m *model) end(p daisygap.Process, e Evidence) {
 	for _, d := range m.daemons {
-		d.tracker.End(p, "store", d.clock(m))
+		d.tracker.End(p, e, d.clock(m))
 		m.push(d)
 	}
 }
@@ -217,9 +219,15 @@
 func (m *model) probe(d *modelDaemon, s *modelServer, p daisygap.Process) {
 	m.after(2, func() {
 		if s.down && m.refuses {
-			d.tracker.End(p, "refused", d.clock(m))
+			d.tracker.End(p, Refused, d.clock(m))
 			m.push(d)
+			return
 		}
+		m.after(modelSecondDial, func() {
+			if !s.down {
+				d.tracker.Survive(p, d.clock(m))
+			}
+		})
 	})
 }
 
@@ -310,6 +318,7 @@
 		now := d.clock(m)
 		if reset {
 			d.tracker.Break(daisygap.CrashReport{Fingerprint: fingerprint, Process: r.process, Sent: r.sent + d.offset, Broken: now}, now)
+			m.probe(d, r.server, r.process)
 			return
 		}
 		m.served++
--- a/internal/policy/poison/process.go
+++ b/internal/policy/poison/process.go
@@ -18,15 +18,15 @@
 type processes map[daisygap.Process]*process
 
 type process struct {
-	// requests holds the fingerprints of the requests whose connections broke.
-	requests []uint64
+	// fingerprints are those of the requests whose connections broke.
+	fingerprints []uint64
 	// broken is the time at which the last connection broke, and together reports whether those of several requests broke at the
 	// same moment.
 	broken   daisygap.Millis
 	together bool
 	// ended is when the process was found to have ended, or 0, and source the evidence.
 	ended  daisygap.Millis
-	source string
+	source Evidence
 }
 
 // broken records that a request's connection broke, and reports whether there is evidence that the process ended around that time.
@@ -37,13 +37,21 @@
 }
 
 // end records that a process ended, and returns the requests whose connections broke there.
-func (m *processes) end(id daisygap.Process, source string, now daisygap.Millis) []uint64 {
+func (m *processes) end(id daisygap.Process, source Evidence, now daisygap.Millis) []uint64 {
 	p := m.touch(id, now)
-	if p.ended == 0 {
+	if p.ended == 0 || source == Replaced {
 		p.source = source
 	}
 	p.ended = now
-	return p.requests
+	return p.fingerprints
+}
+
+// requests returns the requests whose connections broke at a process.
+func (m *processes) requests(id daisygap.Process) []uint64 {
+	if p := (*m)[id]; p != nil {
+		return p.fingerprints
+	}
+	return nil
 }
 
 func (m *processes) brokeTogether(id daisygap.Process) bool {
@@ -52,7 +60,7 @@
 }
 
 // source returns the evidence that a process ended, or "".
-func (m *processes) source(id daisygap.Process) string {
+func (m *processes) source(id daisygap.Process) Evidence {
 	if p := (*m)[id]; p != nil {
 		return p.source
 	}
@@ -60,12 +68,12 @@
 }
 
 func (p *process) add(fingerprint uint64, at daisygap.Millis) {
-	if len(p.requests) > 0 && max(at-p.broken, p.broken-at) <= sameMoment && !slices.Contains(p.requests, fingerprint) {
+	if len(p.fingerprints) > 0 && max(at-p.broken, p.broken-at) <= sameMoment && !slices.Contains(p.fingerprints, fingerprint) {
 		p.together = true
 	}
 	p.broken = max(p.broken, at)
-	if !slices.Contains(p.requests, fingerprint) && len(p.requests) < maxRequests {
-		p.requests = append(p.requests, fingerprint)
+	if !slices.Contains(p.fingerprints, fingerprint) && len(p.fingerprints) < maxRequests {
+		p.fingerprints = append(p.fingerprints, fingerprint)
 	}
 }
 
--- a/internal/policy/poison/report.go
+++ b/internal/policy/poison/report.go
@@ -27,6 +27,14 @@
 	return x.sent >= earlier.broken+transitTime
 }
 
+// isConfirmedBy reports whether evidence that the process ended, which is found now, shows that the request may have crashed it.
+func (x report) isConfirmedBy(e Evidence, now daisygap.Millis) bool {
+	if x.Survived {
+		return (e == Replaced || e == Misdirected) && now-x.broken < replaceWindow
+	}
+	return now-x.broken < confirmWindow
+}
+
 func endedOnly(x *report) bool { return x.Ended }
 
 // weight returns the weight of the longest series of counted reports after the last answer of which each follows the one before.
--- a/internal/policy/poison/tracker.go
+++ b/internal/policy/poison/tracker.go
@@ -27,6 +27,9 @@
 	// confirmWindow is the longest time between the end of a request's connection and the evidence that the upstream's process ended.
 	// It covers the expiry of the process's entry in the store.
 	confirmWindow = daisygap.Millis(15_000)
+	// replaceWindow is the same if the process, or another one in its place, accepted a connection meanwhile. It covers the time until the
+	// store shows the new process.
+	replaceWindow = daisygap.Millis(3_000)
 	// trialTimeout ends a trial whose outcome was never recorded.
 	trialTimeout = daisygap.Millis(30_000)
 	// reportPeriod is how long a report is forwarded to other daemons after it became known or changed.
@@ -137,7 +140,7 @@
 	if r == nil {
 		return 0
 	}
-	return r.weight(func(x *report) bool { return x.Ended || now-x.broken < confirmWindow })
+	return r.weight(func(x *report) bool { return x.Ended || !x.Survived && now-x.broken < confirmWindow })
 }
 
 // Break records that the connection of a request of this daemon broke. The times of the report are on this daemon's clock.
@@ -147,18 +150,47 @@
 	t.add(report{CrashReport: c, sent: c.Sent, broken: c.Broken}, now)
 }
 
+// Evidence is what shows that a process ended.
+type Evidence string
+
+// The kinds of evidence. Replaced and Misdirected show that another process has its place, and may come after a connection to it.
+const (
+	Refused     Evidence = "connection refused"
+	Unreachable Evidence = "unreachable"
+	Removed     Evidence = "entry removed"
+	Reported    Evidence = "peer"
+	Replaced    Evidence = "replaced"
+	Misdirected Evidence = "another instance answers"
+)
+
 // End records evidence that a process ended, and confirms the reports on the requests that ran there.
-func (t *Tracker) End(p daisygap.Process, source string, now daisygap.Millis) {
+func (t *Tracker) End(p daisygap.Process, source Evidence, now daisygap.Millis) {
 	for _, fingerprint := range t.processes.end(p, source, now) {
 		t.confirm(fingerprint, p, now)
 	}
 }
 
-// Unreachable records that no connection to a process could be opened for another reason than that nothing listens there. It is
+// Survive records that a process accepts connections, some time after this daemon's last connections to it broke.
+func (t *Tracker) Survive(p daisygap.Process, now daisygap.Millis) {
+	for _, fingerprint := range t.processes.requests(p) {
+		r := t.find(fingerprint, now)
+		if r == nil {
+			continue
+		}
+		for i := range r.reports {
+			if x := &r.reports[i]; x.Process == p && !x.Ended {
+				x.Survived = true
+				r.changed, r.sends = now, 0
+			}
+		}
+	}
+}
+
+// FailDial records that no connection to a process could be opened for another reason than that nothing listens there. It is
 // evidence of the process's end if several requests broke off there at the same moment.
-func (t *Tracker) Unreachable(p daisygap.Process, now daisygap.Millis) {
+func (t *Tracker) FailDial(p daisygap.Process, now daisygap.Millis) {
 	if t.processes.brokeTogether(p) {
-		t.End(p, "unreachable", now)
+		t.End(p, Unreachable, now)
 	}
 }
 
@@ -197,7 +229,7 @@
 		return
 	}
 	for i := range r.reports {
-		if x := &r.reports[i]; x.Process == p && !x.Ended && now-x.broken < confirmWindow {
+		if x := &r.reports[i]; x.Process == p && !x.Ended && x.isConfirmedBy(t.processes.source(p), now) {
 			x.Ended = true
 			t.change(Change{Kind: Crashed, Fingerprint: fingerprint, Process: p, Host: x.Host, Evidence: t.processes.source(p)})
 			t.update(r, now)
@@ -211,7 +243,7 @@
 	r := t.touch(x.Fingerprint, now)
 	if i := slices.IndexFunc(r.reports, func(old report) bool { return old.Process == x.Process }); i >= 0 {
 		old := r.reports[i]
-		if old.Ended || !x.Ended && !x.follows(old) {
+		if old.Ended || !x.Ended && !x.follows(old) && x.Survived == old.Survived {
 			return false
 		}
 		r.reports = slices.Delete(r.reports, i, i+1)
--- a/internal/policy/poison/tracker_test.go
+++ b/internal/policy/poison/tracker_test.go
@@ -91,17 +91,36 @@
 		t.Errorf("%d breaks in a row, want 5", n)
 	}
 	for i := 1; i < 4; i++ {
-		tr.End(daisygap.Process{ID: fmt.Sprint(i)}, "store", 6_000)
+		tr.End(daisygap.Process{ID: fmt.Sprint(i)}, Removed, 6_000)
 	}
 	if !tr.Blocked(7, 6_000) {
 		t.Error("the request isn't blocked although three of the processes ended")
 	}
 }
 
+// TestResetBeforeCrashIsNoCrash guards against blame for a request whose connection was reset shortly before its server crashed.
+func TestResetBeforeCrashIsNoCrash(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		tr := Tracker{Host: "a"}
+		c := crash(7, "x", 100)
+		c.Ended = false
+		tr.Break(c, 100)
+		tr.Survive(c.Process, 210)
+		evidence := Refused
+		if replaced {
+			evidence = Replaced
+		}
+		tr.End(c.Process, evidence, 500)
+		if got := tr.Suspect(7, 510); got != replaced {
+			t.Errorf("evidence %q after a later connection: suspected is %v", evidence, got)
+		}
+	}
+}
+
 // TestEvidenceMayComeFirst covers a process whose end another request found before this one's broken connection is recorded.
 func TestEvidenceMayComeFirst(t *testing.T) {
 	tr := Tracker{Host: "a"}
-	tr.End(daisygap.Process{ID: "x"}, "store", 100)
+	tr.End(daisygap.Process{ID: "x"}, Removed, 100)
 	c := crash(7, "x", 110)
 	c.Ended = false
 	tr.Break(c, 110)
@@ -121,7 +140,7 @@
 			}
 			tr.Break(c, c.Broken)
 		}
-		tr.Unreachable(daisygap.Process{ID: "x"}, 1_200)
+		tr.FailDial(daisygap.Process{ID: "x"}, 1_200)
 		if got := tr.Suspect(0, 1_300); got != together {
 			t.Errorf("connections broke together: %v, suspected: %v", together, got)
 		}
