--- a/internal/soak/promise/checker.go
+++ b/internal/soak/promise/checker.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/standin/instance"
 )
 
@@ -76,7 +77,9 @@
 	ID       string
 	Stamp    string
 	Body     string
-	Ended    time.Time
+	// Reason is why the daemon refused the request, or "".
+	Reason string
+	Ended  time.Time
 }
 
 // Server is the checker's record of a server.
@@ -312,6 +315,8 @@
 		c.addViolation("MIXED", "request %s received a success response that no server sent: stamp %q, %d bytes", id, result.Stamp, len(result.Body))
 	case !r.request.Route.Idempotent && meansNotExecuted(result.Status) && len(r.executions) > 0:
 		c.addViolation("REFUSED", "request %s was refused with status %d although it was executed on %s", id, result.Status, r.executions[0].server.ID)
+	case result.Reason == string(daisygap.ReasonPoisoned):
+		c.addViolation("POISON", "request %s, which crashes no server, was blocked as one that does", id)
 	case result.Status == http.StatusBadRequest || result.Status == http.StatusUnauthorized || result.Status == http.StatusForbidden:
 		c.addViolation("DENIED", "request %s was denied with status %d", id, result.Status)
 	}
--- a/internal/soak/promise/checker_test.go
+++ b/internal/soak/promise/checker_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/standin/instance"
 )
 
@@ -136,6 +137,10 @@
 				s.execute(id, s.stock)
 			}
 		}, []string{"FAILBACK"}},
+		{"innocent request blocked", func(s *scenario) {
+			s.send("a", order, 0)
+			s.RequestEnded("a", Result{Connected: true, Complete: true, Status: 503, Reason: string(daisygap.ReasonPoisoned), Ended: time.Now()})
+		}, []string{"POISON"}},
 		{"executed request truncated by a stop", func(s *scenario) {
 			s.DaemonStopping("host")
 			s.send("a", order, 0)
--- a/internal/standin/client/caller.go
+++ b/internal/standin/client/caller.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/adapter/upstream"
 	"github.com/daisygap/daisygap/internal/soak/promise"
 	"github.com/daisygap/daisygap/internal/standin/site"
@@ -262,6 +263,7 @@
 	body, err := io.ReadAll(res.Body)
 	result.Complete, result.Status, result.Body = err == nil, res.StatusCode, string(body)
 	result.ID, result.Stamp = res.Header.Get("Request-Id"), res.Header.Get("Response-Stamp")
+	result.Reason = res.Header.Get(daisygap.HeaderReason)
 	if seconds, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); err == nil {
 		retryAfter = time.Duration(seconds * float64(time.Second))
 	}
