--- a/internal/daemon/entry/exchange.go
+++ b/internal/daemon/entry/exchange.go
@@ -267,7 +267,7 @@
 }
 
 // upstreamFailed turns a transport error into a refusal. It distinguishes a request that was not sent, one canceled by
-// its caller or its deadline, and one whose upstream closed the connection, which counts as a crash.
+// its caller or its deadline, and one whose upstream closed the connection, which counts as a crash if nothing listens there any more.
 func (e *exchange) upstreamFailed(slot *upstream.Slot, err error, sent daisygap.Millis) attempt {
 	refusalMetrics := daisygap.RefusalMetrics{TimeLeft: e.remaining()}
 	e.d.Log.With("upstream").Debugf("%v", err)
@@ -291,8 +291,8 @@
 	}
 	e.d.reportCrash(daisygap.CrashReport{
 		Fingerprint: e.in.Request.Fingerprint, Process: daisygap.Process{ID: slot.Name, StartTime: int64(e.d.Clock.Wall())},
-		Host: e.d.Settings.Host, Sent: sent, Broken: e.d.Clock.Now(), Ended: true, Alone: slot.Suspect,
-	})
+		Host: e.d.Settings.Host, Sent: sent, Broken: e.d.Clock.Now(), Alone: slot.Suspect,
+	}, slot.Address)
 	slot.Done(balance.ConnectionLost)
 	return attempt{refusal: e.refusal(daisygap.ReasonUpstreamFailed, daisygap.RunUnknown, refusalMetrics)}
 }
--- a/internal/daemon/entry/fault_test.go
+++ b/internal/daemon/entry/fault_test.go
@@ -208,6 +208,23 @@
 	}
 }
 
+// TestLostAnswersBlockNothing guards against a block on a request whose responses are lost by upstreams that live on.
+func TestLostAnswersBlockNothing(t *testing.T) {
+	f := startFleet(t, "hivecraft")
+	client := operatorClient(f.Nodes()[0])
+	merge := json.RawMessage(`{"kinds":{"orders":{"match":[{"path":"/orders"},{"path":"/lost"}]}}}`)
+	if _, err := client.Patch(context.Background(), 1, daisygap.Patch{ID: "p", Merge: merge}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	for i := range 8 {
+		res, _ := sendRequest(t, f.Nodes()[i%2], "POST", upstream.LostPath, "{}")
+		if reason := res.Header.Get(daisygap.HeaderReason); reason != string(daisygap.ReasonUpstreamFailed) {
+			t.Errorf("request %d was refused as %q", i, reason)
+		}
+	}
+}
+
 // TestTotalsSurviveLeaseholderCrash guards against lost refusal counts. Both daemons of a domain refuse requests, and the
 // leaseholder is killed before it has written the totals to the store.
 func TestTotalsSurviveLeaseholderCrash(t *testing.T) {
--- a/internal/daemon/entry/fingerprints.go
+++ b/internal/daemon/entry/fingerprints.go
@@ -1,9 +1,13 @@
 package entry
 
 import (
+	"context"
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/policy/poison"
@@ -103,9 +107,33 @@
 // crashReportTimeout is how long the caller of a request that crashed an upstream waits until other daemons of the domain know.
 const crashReportTimeout = daisygap.Millis(250)
 
-// reportCrash records that an upstream closed its connection while it executed a request, and propagates it in the domain. It
-// waits for the next daemons, because the caller may send the request to one of them as soon as it has its response.
-func (d *Daemon) reportCrash(c daisygap.CrashReport) {
+const (
+	// endProbeTimeout bounds one attempt to connect to an upstream that closed a connection, and endProbePause is the time before the
+	// second attempt, since a process that ends may close its connections before its listener.
+	endProbeTimeout = daisygap.Millis(250)
+	endProbePause   = daisygap.Millis(20)
+)
+
+// hasEnded reports whether nothing listens at an upstream's address. An upstream that only lost a response accepts the connection.
+func (d *Daemon) hasEnded(address string) bool {
+	isRefused := func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), endProbeTimeout.Duration())
+		defer cancel()
+		return errors.Is(d.Upstream.Probe(ctx, address), syscall.ECONNREFUSED)
+	}
+	if isRefused() {
+		return true
+	}
+	time.Sleep(endProbePause.Duration())
+	return isRefused()
+}
+
+// reportCrash records that an upstream closed its connection while it executed a request, if its process ended, and propagates it in the
+// domain. It waits for the next daemons, because the caller may send the request to one of them as soon as it has its response.
+func (d *Daemon) reportCrash(c daisygap.CrashReport, address string) {
+	if c.Ended = d.hasEnded(address); !c.Ended {
+		return
+	}
 	d.recordCrash(c)
 	d.broadcastAndWait(daisygap.Push{Crashes: []daisygap.CrashReport{c}}, crashReportTimeout)
 }
--- a/internal/standin/upstream/server.go
+++ b/internal/standin/upstream/server.go
@@ -15,6 +15,9 @@
 	"github.com/daisygap/daisygap"
 )
 
+// LostPath is the path of requests whose responses are lost: the server runs them and closes the connection.
+const LostPath = "/lost"
+
 // PoisonPath is the path of requests that crash the server that runs them.
 const PoisonPath = "/poison"
 
@@ -156,6 +159,9 @@
 		return
 	}
 	defer s.endRequest()
+	if r.URL.Path == LostPath {
+		panic(http.ErrAbortHandler)
+	}
 	if r.URL.Path == PoisonPath {
 		s.crash()
 		panic(http.ErrAbortHandler)
