--- a/internal/adapter/caller/inbound.go
+++ b/internal/adapter/caller/inbound.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"strconv"
 	"strings"
 
@@ -135,9 +134,6 @@
 		if errors.As(err, &tooLarge) {
 			return &Problem{daisygap.ReasonTooLarge, "request body larger than 64 MiB"}
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return &Problem{daisygap.ReasonExpired, "the request body did not arrive in time"}
-		}
 		return &Problem{daisygap.ReasonBadRequest, "reading the request body: " + err.Error()}
 	}
 	in.BodyPrefix = prefix
--- a/internal/daemon/steer/crash_test.go
+++ b/internal/daemon/steer/crash_test.go
@@ -120,10 +120,13 @@
 // TestBlockOutlivesRestartedDaemons guards against a restart of the daemons, one after the other, that forgets what is blocked.
 func TestBlockOutlivesRestartedDaemons(t *testing.T) {
 	ts, p := startCrashPool(t, 300*time.Millisecond, false)
-	for i := range 6 {
-		ts.sendRequest(newClient(t), ts.daemons[i%2], http.MethodGet, "/reads/poison", "")
+	turn := 0
+	ts.await("the block", func() bool {
+		got := ts.sendRequest(newClient(t), ts.daemons[turn%2], http.MethodGet, "/reads/poison", "")
+		turn++
 		time.Sleep(150 * time.Millisecond)
-	}
+		return got.header.Get(daisygap.HeaderReason) == string(daisygap.ReasonPoisoned)
+	})
 	before := p.count()
 	for i, d := range ts.daemons {
 		d.Stop()
