--- a/internal/daemon/steer/memory_test.go
+++ b/internal/daemon/steer/memory_test.go
@@ -19,7 +19,7 @@
 const maxUploadsHeap = 64 << 20
 
 // TestHeldBodiesUseBoundedMemory guards against callers that make a daemon hold the sum of their bodies. They send most of a body and
-// pause; other requests are served meanwhile, and callers that were refused are told so at once.
+// pause; other requests are served meanwhile, and callers that were refused get their responses at once.
 func TestHeldBodiesUseBoundedMemory(t *testing.T) {
 	const count = 300
 	ts := startSite(t, &site.Site{Regions: regions, Routes: routes, MemoryMB: 64}, "n-1")
