--- a/internal/daemon/steer/crashprobe.go
+++ b/internal/daemon/steer/crashprobe.go
@@ -26,8 +26,8 @@
 // crashProbe finds out whether a process ended, by opening connections to it.
 type crashProbe struct {
 	started daisygap.Millis
-	// answered is closed when the first attempt to connect has ended.
-	answered chan struct{}
+	// firstEnded is closed when the first attempt to connect has ended.
+	firstEnded chan struct{}
 }
 
 // probeCrash starts a probe of a process unless there was one lately.
@@ -49,11 +49,11 @@
 	if c.probes == nil {
 		c.probes = make(map[daisygap.Process]*crashProbe)
 	}
-	probe := &crashProbe{started: now, answered: make(chan struct{})}
+	probe := &crashProbe{started: now, firstEnded: make(chan struct{})}
 	c.probes[p] = probe
 	go func() {
 		connected := d.connects(p, address)
-		close(probe.answered)
+		close(probe.firstEnded)
 		if connected && d.sleep(crashProbeDelay) && d.connects(p, address) {
 			d.updateTracker(func(t *poison.Tracker) { t.Survive(p, d.Clock.Now()) })
 		}
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithTimeout(e.ctx, crashVerdictWait.Duration())
 	defer cancel()
 	select {
-	case <-probe.answered:
+	case <-probe.firstEnded:
 	case <-ctx.Done():
 	}
 }
--- a/internal/daemon/steer/crashsync.go
+++ b/internal/daemon/steer/crashsync.go
@@ -40,7 +40,7 @@
 	isolated atomic.Bool
 }
 
-// noteContact records an exchange with another daemon.
+// noteContact records that another daemon's reports were received.
 func (d *Daemon) noteContact() {
 	d.crashes.sync.contact.Store(int64(d.Clock.Now()))
 	d.crashes.sync.wallContact.Store(int64(d.Clock.Wall()))
@@ -138,9 +138,7 @@
 	for _, address := range d.gossipTargets(count) {
 		go func() {
 			// A daemon that doesn't respond gets the reports by gossip once it does.
-			if _, err := d.Peers.Gossip(address, daisygap.Gossip{Crashes: news, CrashesOnly: true}); err == nil {
-				d.noteContact()
-			}
+			_, _ = d.Peers.Gossip(address, daisygap.Gossip{Crashes: news, CrashesOnly: true})
 		}()
 	}
 }
