--- a/internal/daemon/steer/crashsync.go
+++ b/internal/daemon/steer/crashsync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,7 +19,7 @@
 	staleContact = daisygap.Millis(3_000)
 	// crashSyncWait is how long requests wait for these reports, and crashSyncPeers the number of daemons asked.
 	crashSyncWait  = daisygap.Millis(300)
-	crashSyncPeers = 3
+	crashSyncPeers = 5
 	// crashPushDelay collects reports that arise together into one message.
 	crashPushDelay = daisygap.Millis(5)
 	// crashPushRate and crashPushBurst limit the rounds of messages per second, and crashPushFanout is the number of daemons that a
@@ -78,7 +79,7 @@
 func (d *Daemon) syncCrashes(done chan struct{}) {
 	s := &d.crashes.sync
 	var group sync.WaitGroup
-	for _, address := range d.gossipTargets(crashSyncPeers) {
+	for _, address := range d.crashSyncTargets() {
 		group.Go(func() { d.exchangeGossip(address) })
 	}
 	responded := make(chan struct{})
@@ -99,6 +100,28 @@
 	close(done)
 }
 
+// crashSyncTargets returns the addresses of up to crashSyncPeers daemons: live ones first, then those that may be. A daemon that has just
+// started knows none to be alive, and its predecessor's address may be among the others.
+func (d *Daemon) crashSyncTargets() []string {
+	list := d.gossipTargets(crashSyncPeers)
+	d.membership.mu.Lock()
+	defer d.membership.mu.Unlock()
+	more := slices.Clone(d.Settings.Peers)
+	for _, p := range d.membership.roster.StorePeers() {
+		more = append(more, p.Address)
+	}
+	own := d.membership.roster.Self.Peer.Address
+	for _, address := range more {
+		if len(list) >= crashSyncPeers {
+			break
+		}
+		if address != own && !slices.Contains(list, address) {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
 func (d *Daemon) wakeCrashPush() {
 	select {
 	case d.crashes.wake <- struct{}{}:
