steer: log and count what tells how a restarted server was treated

Of the hypotheses on the flooded cold server, the logs could tell neither the requests that went to a server as a cold one, nor when a daemon took it for restarted, nor an entry that was dropped as outdated. Now: upstream back with the number of failures before it, outdated entry, the start time with each entry of a server, daisygap_cold_requests_total and daisygap_outdated_entries_total.

--- a/internal/daemon/steer/events.go
+++ b/internal/daemon/steer/events.go
@@ -18,6 +18,7 @@
 	droppedEvents      = metrics.NewCounter(`daisygap_events_over_rate_total`)
 	departuresByAnswer = metrics.NewCounter(`daisygap_upstreams_leaving_total{source="answer"}`)
 	departuresByStore  = metrics.NewCounter(`daisygap_upstreams_leaving_total{source="store"}`)
+	coldRequests       = metrics.NewCounter(`daisygap_cold_requests_total`)
 	pausesBegun        = metrics.NewCounter(`daisygap_upstream_pauses_total`)
 )
 
@@ -120,7 +121,7 @@
 // sourceAnswer is the source of what an upstream announced in its response to this daemon.
 const sourceAnswer = "answer"
 
-// logNotice logs that an upstream's response began its departure or a pause, or changed its rate.
+// logNotice logs that an upstream's response began its departure or a pause, changed its rate or ended its connection failures.
 func (e *exchange) logNotice(u *placement.Upstream, n placement.Notice) {
 	fields := func() daisygap.Fields {
 		return daisygap.Fields{"id": e.head.ID, "upstream": u.ID, "run": u.StartTime, "from": sourceAnswer}
@@ -129,6 +130,13 @@
 		departuresByAnswer.Inc()
 		e.d.event("upstream leaving", "upstream leaving", fields)
 	}
+	if n.EndedFailures > 0 {
+		e.d.event("upstream back", "upstream back", func() daisygap.Fields {
+			f := fields()
+			f["failures"] = n.EndedFailures
+			return f
+		})
+	}
 	if n.Rate != nil {
 		e.d.logRateChange(*n.Rate, sourceAnswer, e.head.ID)
 	}
--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -234,6 +234,9 @@
 		e.fail(reason, c)
 		return c, false
 	}
+	if c.Verdict == placement.ColdStart {
+		coldRequests.Inc()
+	}
 	return c, true
 }
 
--- a/internal/daemon/steer/replica.go
+++ b/internal/daemon/steer/replica.go
@@ -29,9 +29,10 @@
 )
 
 var (
-	foreignEntries = metrics.NewCounter(`daisygap_foreign_entries_total`)
-	versionGauge   atomicGauge
-	revisionGauge  atomicGauge
+	foreignEntries  = metrics.NewCounter(`daisygap_foreign_entries_total`)
+	outdatedEntries = metrics.NewCounter(`daisygap_outdated_entries_total`)
+	versionGauge    atomicGauge
+	revisionGauge   atomicGauge
 )
 
 // storeReplica is the daemon's replica of the store, with the decoded entries.
@@ -166,6 +167,10 @@
 		return
 	}
 	if i := decoded.Instance; i != nil && d.outdated(*i) {
+		outdatedEntries.Inc()
+		d.event("outdated entry", "outdated entry", func() daisygap.Fields {
+			return daisygap.Fields{"key": e.Key, "revision": e.Revision, "from": source, "run": i.StartTime, "sequence": i.Sequence}
+		})
 		return
 	}
 	if decoded.Peer != nil {
@@ -223,7 +228,8 @@
 	case decoded.Hint != nil && decoded.HintRegion == d.Settings.Region:
 		d.Log.Event("placement hint", fields)
 	case decoded.Instance != nil:
-		fields["pool"], fields["domain"], fields["draining"], fields["cold_ms"] = decoded.Instance.Pool, decoded.Instance.Domain, decoded.Instance.Draining, decoded.Instance.ColdRemaining
+		i := decoded.Instance
+		fields["pool"], fields["domain"], fields["draining"], fields["cold_ms"], fields["run"] = i.Pool, i.Domain, i.Draining, i.ColdRemaining, i.StartTime
 		d.Log.Event("upstream", fields)
 	}
 }
--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -348,6 +348,7 @@
 		u.downUntil = now + min(minDownPeriod<<min(u.connectFailures-1, 4), maxDownPeriod)
 		p.unlimitedUntil = now + unlimitedPeriod
 	case Answered:
+		notice.EndedFailures = u.connectFailures
 		p.recordSuccess(c, route, o, now)
 		u.failureRatio -= failureWeight * u.failureRatio
 	case Failed:
