--- a/internal/standin/instance/server.go
+++ b/internal/standin/instance/server.go
@@ -121,7 +121,7 @@
 	// CrashPath, if set, is a part of the paths of requests that stop the whole server, which then calls OnCrash.
 	CrashPath string
 	OnCrash   func()
-	// OnArrival, if set, is called for every arrival.
+	// OnArrival, if set, is called for every arrival except status checks.
 	OnArrival func(Arrival)
 
 	mu       sync.Mutex
@@ -236,6 +236,20 @@
 	return max(0, s.ColdStart-daisygap.Millis(time.Now().UnixMilli()-s.startedAtMillis))
 }
 
+// HealthPath is the path of status checks.
+const HealthPath = "/health"
+
+// serveHealth responds to a status check.
+func (s *Server) serveHealth(w http.ResponseWriter) {
+	w.Header().Set("Instance-Id", s.ID)
+	w.Header().Set("Cold-Milliseconds", strconv.FormatInt(int64(s.coldRemaining()), 10))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining || s.fault == Shed {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // ServeHTTP runs one request under the current fault. It rejects requests that expect another instance.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if want := r.Header.Get("Expected-Instance"); want != "" && want != s.ID {
@@ -244,6 +258,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == HealthPath {
+		s.serveHealth(w)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -99,7 +99,7 @@
 		})
 	}
 	for p := range pools {
-		services = append(services, []any{p, "/health", 390, "h1", false, "3s", 13.0})
+		services = append(services, []any{p, instance.HealthPath, 390, "h1", false, "3s", 13.0})
 	}
 	return s.Put("op/config", encodeConfiguration(s.version, rows, services))
 }
