steer: a server that starts again gets no requests before its status check

Callers saw nothing of it themselves; a cold server that is flooded crashes and takes their requests along (FAILBACK).

Cause: only its entry in the store ended an upstream's process. Until the new one arrived, daemons took what answered at the address for the warm process before it, each daemon but those that were refused a connection themselves; and those sent several requests before the first answer made the upstream cold for them.

Change: a refused connection ends the process for all daemons, at once. Its address gets no requests until a status check is answered, which says how long the process is still cold, or until the store shows a later process. The daemons that may send to a cold upstream make the checks. An upstream that couldn't be reached for another reason is checked by each daemon for itself, instead of being tried with a caller's request and counting as cold for the whole cold start. A connection that breaks under a request leads to a check meanwhile.

TestUnreachableUpstreamIsSkippedThenCold expected the trial with a request; the test in its place expects none before a check and tells five results of it apart.

--- a/gossip.go
+++ b/gossip.go
@@ -54,6 +54,19 @@
 	SentAge Millis `json:"q"`
 }
 
+// RestartReport reports that the process of an upstream ended, or what a status check found at its address afterwards.
+type RestartReport struct {
+	// Upstream is the truncated hash of the upstream's name, and StartTime the Unix time of the start of the process in milliseconds that
+	// the store shows.
+	Upstream  uint32 `json:"u"`
+	StartTime int64  `json:"s"`
+	// Checked reports whether a process responded to a status check. Cold is how long it is still cold.
+	Checked bool   `json:"c,omitempty"`
+	Cold    Millis `json:"r,omitempty"`
+	// Age is the time since the latest evidence, or since the status check.
+	Age Millis `json:"a"`
+}
+
 // LoadObservation is the load of an upstream as one daemon observed it.
 type LoadObservation struct {
 	// Upstream is the truncated hash of the upstream's name.
@@ -107,12 +120,13 @@
 	Heartbeats []GossipHeartbeat `json:"b"`
 	Crashes    []CrashReport     `json:"x,omitempty"`
 	Answers    []AnswerReport    `json:"w,omitempty"`
-	// CrashesOnly is set in a message that only brings new crash reports. Its reply is empty.
+	// CrashesOnly is set in a message that only brings new reports of crashes and restarts. Its reply is empty.
 	CrashesOnly bool `json:"o,omitempty"`
 	// AllCrashes asks for all reports that the receiver holds, and not only for the recent ones.
 	AllCrashes bool              `json:"q,omitempty"`
 	Loads      []LoadObservation `json:"l,omitempty"`
 	Rates      []RateReport      `json:"t,omitempty"`
+	Restarts   []RestartReport   `json:"e,omitempty"`
 }
 
 // StoreUpdate transfers entries of the store from one daemon to another: the changes after a revision, or a full copy.
--- a/internal/daemon/steer/attempt.go
+++ b/internal/daemon/steer/attempt.go
@@ -273,7 +273,7 @@
 	case a.state == unreachable && e.ctx.Err() != nil:
 		o.Result = placement.Canceled
 	case a.state == unreachable:
-		o.Result = placement.Unreachable
+		o.Result, o.Refused = placement.Unreachable, errors.Is(a.err, syscall.ECONNREFUSED)
 		d.recordUnreachable(processOf(c.Upstream), a.err)
 	case a.state == notExecuted:
 		o.Result = placement.Shed
--- a/internal/daemon/steer/crashes.go
+++ b/internal/daemon/steer/crashes.go
@@ -145,6 +145,9 @@
 	r := daisygap.CrashReport{Fingerprint: e.fingerprint, Process: processOf(u), Sent: a.started, Broken: now, Alone: e.alone}
 	d.updateCrashes(func(t *poison.Tracker) { t.Break(r, now) })
 	d.probeCrash(r.Process, u.Address)
+	if p := d.fleet.Pool(u.Pool); p != nil {
+		p.CheckBroken(u, now)
+	}
 }
 
 // recordEnd records evidence that a process ended.
--- a/internal/daemon/steer/crashprobe.go
+++ b/internal/daemon/steer/crashprobe.go
@@ -75,6 +75,7 @@
 func (d *Daemon) recordUnreachable(p daisygap.Process, err error) {
 	now := d.Clock.Now()
 	if errors.Is(err, syscall.ECONNREFUSED) {
+		d.noteRefused(p)
 		d.recordEnd(p, poison.Refused, now)
 		return
 	}
--- a/internal/daemon/steer/crashsync.go
+++ b/internal/daemon/steer/crashsync.go
@@ -129,7 +129,8 @@
 	}
 }
 
-// runCrashPush sends new crash reports to other daemons at once, since the next copy of the request may arrive at any of them.
+// runCrashPush sends new reports of crashes and restarts to other daemons at once, since the next copy of the request, or the next request
+// for the upstream, may arrive at any of them.
 func (d *Daemon) runCrashPush() {
 	limiter := rate.NewLimiter(crashPushRate, crashPushBurst)
 	for {
@@ -145,23 +146,23 @@
 	}
 }
 
-// pushCrashes sends new crash reports to all daemons of a small fleet, or to some of a large one.
+// pushCrashes sends new reports to all daemons of a small fleet, or to some of a large one.
 func (d *Daemon) pushCrashes() {
 	count, small := crashPushFanout, d.isSmallFleet()
 	if small {
 		count = smallFleet
 	}
-	c := &d.crashes
+	c, now := &d.crashes, d.Clock.Now()
 	c.mu.Lock()
-	news := c.tracker.TakeNews(!small, d.Clock.Now())
+	g := daisygap.Gossip{Crashes: c.tracker.TakeNews(!small, now), CrashesOnly: true}
 	c.mu.Unlock()
-	if len(news) == 0 {
+	if g.Restarts = d.fleet.TakeRestartNews(now); len(g.Crashes)+len(g.Restarts) == 0 {
 		return
 	}
 	for _, address := range d.gossipTargets(count) {
 		go func() {
 			// A daemon that doesn't respond gets the reports by gossip once it does.
-			_, _ = d.Peers.Gossip(address, daisygap.Gossip{Crashes: news, CrashesOnly: true})
+			_, _ = d.Peers.Gossip(address, g)
 		}()
 	}
 }
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -66,7 +66,7 @@
 	if s.Steering.AdvertiseAddress != "" {
 		address = s.Steering.AdvertiseAddress
 	}
-	d.fleet = placement.Fleet{Name: s.Host, Region: s.Region, Domain: s.Domain, Regions: s.Steering.Domains}
+	d.fleet = placement.Fleet{Name: s.Host, Region: s.Region, Domain: s.Domain, Regions: s.Steering.Domains, Check: d.startStatusCheck}
 	d.membership.roster.Self = daisygap.GossipHeartbeat{
 		Name: s.Host,
 		Peer: &daisygap.Peer{
--- a/internal/daemon/steer/events.go
+++ b/internal/daemon/steer/events.go
@@ -121,7 +121,7 @@
 // sourceAnswer is the source of what an upstream announced in its response to this daemon.
 const sourceAnswer = "answer"
 
-// logNotice logs that an upstream's response began its departure or a pause, changed its rate or ended its connection failures.
+// logNotice logs that an upstream's response began its departure or a pause, or changed its rate.
 func (e *exchange) logNotice(u *placement.Upstream, n placement.Notice) {
 	fields := func() daisygap.Fields {
 		return daisygap.Fields{"id": e.head.ID, "upstream": u.ID, "run": u.StartTime, "from": sourceAnswer}
@@ -130,13 +130,6 @@
 		departuresByAnswer.Inc()
 		e.d.event("upstream leaving", "upstream leaving", fields)
 	}
-	if n.EndedFailures > 0 {
-		e.d.event("upstream back", "upstream back", func() daisygap.Fields {
-			f := fields()
-			f["failures"] = n.EndedFailures
-			return f
-		})
-	}
 	if n.Rate != nil {
 		e.d.logRateChange(*n.Rate, sourceAnswer, e.head.ID)
 	}
--- a/internal/daemon/steer/gossip.go
+++ b/internal/daemon/steer/gossip.go
@@ -96,7 +96,7 @@
 	self.Ready, self.Leaving, self.Revision = d.Ready(), d.stopping.Load(), revision
 	return daisygap.Gossip{
 		Heartbeats: d.membership.roster.Sample(now), Crashes: crashes, Answers: answers,
-		Loads: d.fleet.RecentLoads(now), Rates: d.fleet.RecentRates(now),
+		Loads: d.fleet.RecentLoads(now), Rates: d.fleet.RecentRates(now), Restarts: d.fleet.RecentRestarts(now),
 	}
 }
 
@@ -108,6 +108,7 @@
 	d.mergeCrashes(g)
 	d.fleet.MergeLoads(g.Loads, now)
 	d.mergeRates(g.Rates, "peer")
+	d.mergeRestarts(g.Restarts)
 	if changed {
 		d.updateDaemonNames()
 	}
@@ -117,6 +118,7 @@
 func (d *Daemon) ServeGossip(g daisygap.Gossip) daisygap.Gossip {
 	if g.CrashesOnly {
 		d.mergeCrashes(g)
+		d.mergeRestarts(g.Restarts)
 		return daisygap.Gossip{}
 	}
 	d.mergeGossip(g)
--- a/internal/policy/placement/departure.go
+++ b/internal/policy/placement/departure.go
@@ -90,8 +90,6 @@
 	LeavingBegan bool
 	PauseBegan   bool
 	PausedFor    daisygap.Millis
-	// EndedFailures is the number of connection failures in a row before the upstream answered again, or 0.
-	EndedFailures int
 	// Rate is the change of the rate that the upstream takes, or nil.
 	Rate *RateChange
 }
--- a/internal/policy/placement/fleet.go
+++ b/internal/policy/placement/fleet.go
@@ -23,6 +23,8 @@
 	Domain string
 	// Regions maps each domain to its region.
 	Regions map[string]string
+	// Check starts a status check of an upstream, whose result is to be passed to Checked. It is called under a lock and must not block.
+	Check func(*Upstream)
 
 	mu        sync.Mutex
 	hint      daisygap.PlacementHint
@@ -38,6 +40,7 @@
 	// startedAt is when the fleet got its first upstreams.
 	startedAt daisygap.Millis
 	rateNews  rateNews
+	restarts  restartNews
 }
 
 // Pool returns the pool with the given name, or nil.
@@ -94,7 +97,7 @@
 		p := old[name]
 		if p == nil {
 			p = &Pool{
-				Region: f.Region, Domain: f.Domain, coldShareOf: f.coldShareOf, shifts: &f.shifts, observations: &f.observations,
+				Region: f.Region, Domain: f.Domain, coldShareOf: f.coldShareOf, coldRankOf: f.coldRankOf, check: f.Check, shifts: &f.shifts, observations: &f.observations,
 				largeLocalShare: 1, notices: &f.notices, rateNews: &f.rateNews, seed: xxhash.Sum64String(f.Name),
 			}
 			if h, known := f.hint.Pools[name]; known {
@@ -128,31 +131,41 @@
 	return u
 }
 
-// coldShareOf returns the fraction of a cold upstream's request rate that this daemon may use. It is computed once for each set of
-// daemons and rate; the caller holds the lock of the upstream's pool.
+// coldShareOf returns the fraction of a cold upstream's request rate that this daemon may use, or 0 if other daemons use it all; the
+// caller holds the lock of the upstream's pool.
 func (f *Fleet) coldShareOf(u *Upstream, rate float64) float64 {
 	names := f.daemons.Load()
 	if names == nil || len(*names) == 0 {
 		return 0
 	}
-	if u.cold.daemons != names || u.cold.rate != rate {
-		u.cold = coldShare{daemons: names, rate: rate, share: f.computeColdShare(u.ID, rate, names)}
+	senders := coldSenders(rate)
+	if f.coldRankOf(u) >= senders {
+		return 0
 	}
-	return u.cold.share
+	return 1 / float64(min(senders, len(*names)))
 }
 
-// computeColdShare returns the share, or 0 if other daemons use it all. Rendezvous hashing selects the daemons, so that they agree
-// without coordination.
-func (f *Fleet) computeColdShare(id string, rate float64, names *[]string) float64 {
-	own, ahead := xxhash.Sum64String(f.Name+"\x00"+id), 0
-	for _, n := range *names {
-		if n != f.Name && xxhash.Sum64String(n+"\x00"+id) > own {
-			ahead++
-		}
-	}
-	senders := max(1, int(rate/minColdRatePerDaemon))
-	if ahead >= senders {
+// coldSenders returns the number of daemons that send to a cold upstream.
+func coldSenders(rate float64) int {
+	return max(1, int(rate/minColdRatePerDaemon))
+}
+
+// coldRankOf returns the number of daemons that come before this one in the order in which they send to a cold upstream. Rendezvous
+// hashing orders the daemons, so that they agree without coordination. It is computed once for each set of daemons; the caller holds
+// the lock of the upstream's pool.
+func (f *Fleet) coldRankOf(u *Upstream) int {
+	names := f.daemons.Load()
+	if names == nil {
 		return 0
 	}
-	return 1 / float64(min(senders, len(*names)))
+	if u.cold.daemons != names {
+		own := xxhash.Sum64String(f.Name + "\x00" + u.ID)
+		u.cold = coldRank{daemons: names}
+		for _, n := range *names {
+			if n != f.Name && xxhash.Sum64String(n+"\x00"+u.ID) > own {
+				u.cold.ahead++
+			}
+		}
+	}
+	return u.cold.ahead
 }
--- a/internal/policy/placement/outcome.go
+++ b/internal/policy/placement/outcome.go
@@ -24,6 +24,8 @@
 // Outcome is how a request ended, and what it revealed about its upstream.
 type Outcome struct {
 	Result Result
+	// Refused reports whether the connection to an unreachable upstream was refused, which shows that no process listens.
+	Refused bool
 	// ResponseTime is the time from sending the request to the complete response, or to the start of streaming for a large one.
 	ResponseTime daisygap.Millis
 	// ConnectTime is the time that opening a connection took, or 0 if one was reused.
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -179,22 +179,42 @@
 	}
 }
 
-func TestUnreachableUpstreamIsSkippedThenCold(t *testing.T) {
-	f := newFleet("a", "n-1")
-	f.Replace(limits, instances("n-1", 1, 6), nil, 0)
-	p := f.Pool("p")
-	c := p.Choose(query(reads(), 1), 1)
-	p.Done(c, "r", Outcome{Result: Unreachable}, 1)
-	if got := p.Choose(query(reads(), 1), 2); got.Verdict != Down {
-		t.Errorf("right after the connection failure: verdict %s", got.Verdict)
-	}
-	c = p.Choose(query(reads(), 1), 1+minDownPeriod)
-	if c.Upstream == nil {
-		t.Fatalf("after the down period: verdict %s", c.Verdict)
-	}
-	p.Done(c, "r", Outcome{Result: Answered, ResponseTime: 100}, 1+minDownPeriod)
-	if got := p.Choose(query(reads(), 1), 2+minDownPeriod); got.Verdict != ColdStart {
-		t.Errorf("an upstream that is reachable again isn't cold: verdict %s", got.Verdict)
+// TestUnreachableUpstreamIsCheckedBeforeItsNextRequest guards against requests that reach a process of which nothing is known since its
+// address couldn't be reached. It may have started since then, so it may be cold.
+func TestUnreachableUpstreamIsCheckedBeforeItsNextRequest(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		check   StatusCheck
+		verdict Verdict
+	}{
+		{"unreachable", StatusCheck{}, Down},
+		{"another instance", StatusCheck{Reached: true, Instance: "other", KnowsCold: true}, Down},
+		{"no response", StatusCheck{Reached: true}, ColdStart},
+		{"cold", StatusCheck{Reached: true, Instance: "n-1-0", KnowsCold: true, Cold: 2_000}, ColdStart},
+		{"warm", StatusCheck{Reached: true, Instance: "n-1-0", KnowsCold: true}, Owner},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet("a", "n-1")
+			var checks []*Upstream
+			f.Check = func(u *Upstream) { checks = append(checks, u) }
+			f.Replace(limits, instances("n-1", 1, 6), nil, 0)
+			p := f.Pool("p")
+			c := p.Choose(query(reads(), 1), 1)
+			p.Done(c, "r", Outcome{Result: Unreachable}, 1)
+			for now := daisygap.Millis(2); now < 1+minDownPeriod+100; now += 50 {
+				if got := p.Choose(query(reads(), 1), now); got.Verdict != Down {
+					t.Errorf("%d ms after the connection failure: verdict %s", now-1, got.Verdict)
+				}
+			}
+			if len(checks) != 1 {
+				t.Fatalf("%d status checks, want 1", len(checks))
+			}
+			now := 2 + minDownPeriod + 100
+			f.Checked(checks[0], tt.check, now)
+			if got := p.Choose(query(reads(), 1), now+1); got.Verdict != tt.verdict {
+				t.Errorf("after the check: verdict %s, want %s", got.Verdict, tt.verdict)
+			}
+		})
 	}
 }
 
--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -117,6 +117,10 @@
 	buffers choiceBuffers
 	// coldShareOf returns the fraction of a cold upstream's request rate that this daemon may use.
 	coldShareOf func(u *Upstream, rate float64) float64
+	// coldRankOf returns the number of daemons that send to a cold upstream before this one does.
+	coldRankOf func(u *Upstream) int
+	// check starts a status check.
+	check func(u *Upstream)
 	// shifts limits how fast this daemon's requests, over all pools, move between regions.
 	shifts *shiftLimiter
 	// notices remembers what the processes of all pools announced.
@@ -266,6 +270,7 @@
 			p.buffers.limitedSlots[u.regionIndex] += float64(u.Slots)
 		case u.isDown(now):
 			verdict = Down
+			p.checkUnknown(u, now)
 		case u.isCold(now):
 			cold = append(cold, u)
 		default:
@@ -344,12 +349,9 @@
 	}
 	switch o.Result {
 	case Unreachable:
-		u.connectFailures++
-		u.downUntil = now + min(minDownPeriod<<min(u.connectFailures-1, 4), maxDownPeriod)
-		p.unlimitedUntil = now + unlimitedPeriod
+		p.recordUnreachable(u, o.Refused, now)
 	case Answered:
-		notice.EndedFailures = u.connectFailures
-		p.recordSuccess(c, route, o, now)
+		p.recordSuccess(c, route, o)
 		u.failureRatio -= failureWeight * u.failureRatio
 	case Failed:
 		u.failureRatio += failureWeight * (1 - u.failureRatio)
@@ -367,13 +369,9 @@
 	return notice
 }
 
-// recordSuccess updates the service times. An upstream that was unreachable before counts as just started, so it becomes cold.
-func (p *Pool) recordSuccess(c Choice, route string, o Outcome, now daisygap.Millis) {
+// recordSuccess updates the service times.
+func (p *Pool) recordSuccess(c Choice, route string, o Outcome) {
 	u := c.Upstream
-	if u.connectFailures > 0 {
-		u.connectFailures = 0
-		u.setCold(p.limits.ColdPeriod, now)
-	}
 	serviceTime := max(1, float64(o.ResponseTime)-c.Wait-p.roundTrip(u))
 	// If the wait was underestimated, the rest of it looks like service time. So the mean may only decrease for requests
 	// that may have been queued.
--- a/internal/policy/placement/upstream.go
+++ b/internal/policy/placement/upstream.go
@@ -73,18 +73,20 @@
 	// permits is used if this daemon is the upstream's arbiter, which is cached in arbiter.
 	permits permits
 	arbiter atomic.Pointer[arbiterChoice]
-	// connectFailures is the number of connection failures in a row.
+	// connectFailures is the number of connection failures in a row. Only a status check ends it.
 	connectFailures int
 	// nextColdRequest is the earliest time of this daemon's next request while the upstream is cold.
 	nextColdRequest daisygap.Millis
-	cold            coldShare
+	cold            coldRank
+	restart         restart
+	// brokenCheckAt is the time of the last status check because a connection broke.
+	brokenCheckAt daisygap.Millis
 }
 
-// coldShare is the fraction of a cold upstream's request rate that this daemon may use, for a set of daemons and a rate.
-type coldShare struct {
+// coldRank is the number of daemons of a set that come before this one in the order in which they send to a cold upstream.
+type coldRank struct {
 	daemons *[]string
-	rate    float64
-	share   float64
+	ahead   int
 }
 
 func newUpstream(i daisygap.Instance, region string, now daisygap.Millis) *Upstream {
@@ -121,8 +123,9 @@
 	return now < u.coldUntil
 }
 
+// isDown reports whether the upstream gets no requests, because it couldn't be reached or its process has ended.
 func (u *Upstream) isDown(now daisygap.Millis) bool {
-	return now < u.downUntil
+	return now < u.downUntil || u.restart.isUnknown()
 }
 
 // applyReport updates the load from an upstream's own report, which still includes the request that it answered.
--- a/protocol.go
+++ b/protocol.go
@@ -56,11 +56,21 @@
 	Malformed string
 }
 
+// StatusHead is the part of the headers of a response to a status check that steering decisions depend on.
+type StatusHead struct {
+	// Instance is the ID of the instance that responded, or "".
+	Instance string
+	// KnowsCold reports whether the response names the time for which the instance is still cold, which is Cold.
+	KnowsCold bool
+	Cold      Millis
+}
+
 // Protocol reads and writes the HTTP headers that steering decisions depend on.
 type Protocol interface {
 	ReadRequestHead(r *http.Request) RequestHead
 	WriteAttemptHead(h http.Header, o AttemptHead)
 	ReadResponseHead(res *http.Response) ResponseHead
+	ReadStatusHead(res *http.Response) StatusHead
 	// HideUpstreamHead removes the headers that an upstream means for the daemon alone from a response to a caller.
 	HideUpstreamHead(h http.Header)
 	// WriteRetryAfter sets the time after which the caller should retry.
