steer: the connection of a status check isn't used again

A server that sends one response too many on a kept connection would answer the check with it, and the next request on the connection would get the response to the check: another ID, so its outcome would be unknown. Seen on reading. TestGuaranteesHoldUnderServerFaults (repeat refusal) showed that checks go out on such connections: once under the race detector it failed with a run without an ID, because the simulated server ran the check as a request. It now answers it as a status check, as it does on other connections; the test and its check are unchanged, and it passed 2 of 2 runs under the race detector.

--- a/internal/daemon/steer/restart.go
+++ b/internal/daemon/steer/restart.go
@@ -60,6 +60,8 @@
 	r := &http.Request{
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: u.Address, Path: p.HealthPath()},
 		Header: http.Header{"User-Agent": {""}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
+		// A late response to an earlier request on the connection would leave the one to this check to the next request.
+		Close: true,
 	}
 	res, err := d.Upstream.Send(ctx, r, false)
 	if err != nil {
--- a/internal/standin/instance/server.go
+++ b/internal/standin/instance/server.go
@@ -437,6 +437,10 @@
 	if err != nil {
 		return
 	}
+	if next.URL.Path == HealthPath {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.ID)
+		return
+	}
 	body, _ := io.ReadAll(next.Body)
 	s.mu.Lock()
 	run := s.recordRun(next, string(body))
