steer: a cold server's rate is divided among all daemons that may run

Daemons that had just started, or were cut off from each other, each took the whole rate of a cold server, since they divided it among the daemons that they had contact with.

A daemon that is lost for good keeps its part for 60 s, so cold servers get that much less.

--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -38,7 +38,9 @@
 
 	snapshot atomic.Pointer[snapshot]
 	fleet    placement.Fleet
-	splitter route.Splitter
+	// startedAt is when Run was called.
+	startedAt daisygap.Millis
+	splitter  route.Splitter
 
 	memory       quota.Bytes
 	replica      storeReplica
@@ -82,6 +84,7 @@
 	d.budgets.ratio, d.budgets.slack = s.Steering.RetryRatio, s.Steering.RetrySlack
 	// The error is ignored: the settings were validated when they were loaded, and without a window there is no slack.
 	d.budgets.window, _ = s.Steering.RetryWindow.Millis()
+	d.startedAt = d.Clock.Now()
 	d.updateDaemonNames()
 	d.Log.Event("start", daisygap.Fields{"host": s.Host, "domain": s.Domain, "region": s.Region, "run": d.membership.roster.Self.Peer.Incarnation})
 	for _, loop := range []func(){d.runWatch, d.runCatchUp, d.runRegister, d.runGossip, d.runLapseExpiry, d.runPoolTicks, d.runHints, d.runRenewals, d.runCrashPush} {
--- a/internal/daemon/steer/gossip.go
+++ b/internal/daemon/steer/gossip.go
@@ -22,6 +22,8 @@
 	// smallFleet is the number of other live daemons up to which all contacts are drawn from all regions, so that news cross
 	// regions as fast as within one. A message holds the heartbeats of so many.
 	smallFleet = 32
+	// contactPeriod is the time after its start in which a daemon gets in contact with the others.
+	contactPeriod = daisygap.Millis(2_000)
 )
 
 type membership struct {
@@ -181,18 +183,33 @@
 	return list
 }
 
-// updateDaemonNames passes the live daemons to the components that divide limits among them.
+// updateDaemonNames passes the daemons to the components that divide limits among them.
 func (d *Daemon) updateDaemonNames() {
+	now := d.Clock.Now()
 	d.membership.mu.Lock()
-	names := []string{d.Settings.Host}
-	alive := d.membership.roster.Alive(d.Clock.Now())
-	for _, p := range alive {
-		names = append(names, p.Name)
-	}
+	alive := d.membership.roster.Alive(now)
+	senders := d.coldSenders(now)
 	d.updateArbiters(alive)
 	d.membership.mu.Unlock()
-	d.fleet.SetDaemons(names)
-	d.budgets.setDaemons(len(names))
+	d.fleet.SetDaemons(senders)
+	d.budgets.setDaemons(1 + len(alive))
+}
+
+// coldSenders returns the names of the daemons among which the rate of a cold upstream is divided, sorted; the caller holds the lock of the
+// membership. Those that are cut off from this daemon may still reach the upstream. A daemon that has just started counts those in the store,
+// since it has no contact to them yet.
+func (d *Daemon) coldSenders(now daisygap.Millis) []string {
+	names := []string{d.Settings.Host}
+	for _, h := range d.membership.roster.MayRun(now) {
+		names = append(names, h.Name)
+	}
+	if now-d.startedAt < contactPeriod {
+		for name := range d.membership.roster.StorePeers() {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
 }
 
 // announceLeave notifies up to maxLeaveMessages live daemons that this one is leaving, and revokes its lease.
--- a/internal/daemon/steer/restart_test.go
+++ b/internal/daemon/steer/restart_test.go
@@ -1,6 +1,8 @@
 package steer_test
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -8,6 +10,8 @@
 	"time"
 
 	"github.com/daisygap/daisygap/internal/standin/instance"
+	"github.com/daisygap/daisygap/internal/standin/site"
+	"github.com/daisygap/daisygap/platform"
 )
 
 const (
@@ -117,3 +121,74 @@
 		})
 	}
 }
+
+// TestDaemonsThatStartTogetherKeepColdRate guards against daemons that each take the whole rate of a cold server because they have just started
+// and don't know the others yet.
+func TestDaemonsThatStartTogetherKeepColdRate(t *testing.T) {
+	ts := newSite(t, &site.Site{Regions: regions, Routes: routes})
+	domains := []string{"n-1", "n-2", "n-1", "n-2", "n-1", "n-2", "n-1", "n-2"}
+	ts.startServer("desk", "desk", "n-1")
+	ts.startDaemons(domains...)
+	ts.await("all daemons to register", func() bool { return ts.countRegistered() == len(domains) })
+	for _, d := range ts.daemons {
+		d.Stop()
+	}
+	var arrivals arrivalTimes
+	cold := &instance.Server{ID: "stock", Pool: "stock", Domain: "n-1", Slots: 6, ServiceTime: 5, ColdStart: coldStart, OnArrival: arrivals.add}
+	ts.must(ts.StartServer(cold))
+	started := time.Now()
+	ts.daemons = nil
+	for i, domain := range domains {
+		d, err := ts.Start(fmt.Sprintf("host-%d", i), domain)
+		ts.must(err)
+		ts.daemons = append(ts.daemons, d)
+	}
+	hot := ts.startHotObject(4)
+	defer hot.close()
+	time.Sleep(time.Until(started.Add(coldStart * time.Millisecond)))
+	if n := arrivals.busiestWindow(started, time.Second); n == 0 || n > maxColdRequests {
+		t.Errorf("the cold server got %d requests in one second, want 1 to %d", n, maxColdRequests)
+	}
+}
+
+// TestDaemonsCutOffFromEachOtherKeepColdRate guards against daemons that each take the whole rate of a cold server because they reach no other
+// daemon.
+func TestDaemonsCutOffFromEachOtherKeepColdRate(t *testing.T) {
+	ts := newSite(t, &site.Site{Regions: regions, Routes: routes})
+	ts.startServer("desk", "desk", "n-1")
+	ts.startDaemons("n-1", "n-2", "n-1", "n-2", "n-1", "n-2", "n-1", "n-2")
+	for _, d := range ts.daemons {
+		ts.await("a daemon to know the others", func() bool {
+			return len(d.Listeners.Daemon.EntryHosts("", "")) == len(ts.daemons)
+		})
+	}
+	ts.PeersCut.Store(true)
+	for _, d := range ts.daemons {
+		if !site.Await(20*time.Second, func() bool { return len(d.Listeners.Daemon.EntryHosts("", "")) == 1 }) {
+			t.Fatal("a daemon still counts others as alive 20 s after it was cut off")
+		}
+	}
+	var arrivals arrivalTimes
+	cold := &instance.Server{ID: "stock", Pool: "stock", Domain: "n-1", Slots: 6, ServiceTime: 5, ColdStart: coldStart, OnArrival: arrivals.add}
+	ts.must(ts.StartServer(cold))
+	started := time.Now()
+	hot := ts.startHotObject(4)
+	defer hot.close()
+	time.Sleep(time.Until(started.Add(coldStart * time.Millisecond)))
+	if n := arrivals.busiestWindow(started, time.Second); n == 0 || n > maxColdRequests {
+		t.Errorf("the cold server got %d requests in one second, want 1 to %d", n, maxColdRequests)
+	}
+}
+
+// countRegistered returns the number of daemons that are registered in the store.
+func (ts *testSite) countRegistered() int {
+	b, err := ts.Store.Memory.List(context.Background(), "", "")
+	ts.must(err)
+	n := 0
+	for _, e := range b.Entries {
+		if decoded, err := (platform.Catalogue{}).Decode(e); err == nil && decoded.Peer != nil {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/daemon/steer/watch.go
+++ b/internal/daemon/steer/watch.go
@@ -101,6 +101,7 @@
 	}
 	u.Full = true
 	d.apply(u, sourceStore)
+	d.updateDaemonNames()
 	return nil
 }
 
--- a/internal/policy/placement/fleet.go
+++ b/internal/policy/placement/fleet.go
@@ -61,7 +61,7 @@
 	return *pools
 }
 
-// SetDaemons sets the names of all daemons that may send to cold upstreams, including this one.
+// SetDaemons sets the names of all daemons that may send to cold upstreams, including this one, in any order that doesn't change.
 func (f *Fleet) SetDaemons(names []string) {
 	if old := f.daemons.Load(); old != nil && slices.Equal(*old, names) {
 		return
--- a/internal/policy/roster/roster.go
+++ b/internal/policy/roster/roster.go
@@ -161,6 +161,12 @@
 	return slices.DeleteFunc(r.Known(), func(h daisygap.GossipHeartbeat) bool { return h.Leaving })
 }
 
+// MayRun returns the heartbeats of the daemons that may be running, even if they are cut off from this one: all known daemons but those
+// that announced that they leave and then fell silent.
+func (r *Roster) MayRun(now daisygap.Millis) []daisygap.GossipHeartbeat {
+	return slices.DeleteFunc(r.Known(), func(h daisygap.GossipHeartbeat) bool { return h.Leaving && r.isDead(r.members[h.Name], now) })
+}
+
 // Suspects returns up to count daemons that will count as dead soon, the soonest first, so that they can be contacted directly
 // before that.
 func (r *Roster) Suspects(count int, now daisygap.Millis) []daisygap.GossipHeartbeat {
--- a/internal/policy/roster/roster_test.go
+++ b/internal/policy/roster/roster_test.go
@@ -111,3 +111,28 @@
 		}
 	}
 }
+
+func TestDaemonsThatMayRunIncludeSilentOnes(t *testing.T) {
+	r := Roster{Self: daisygap.GossipHeartbeat{Name: "self"}}
+	heartbeat := func(name string, leaving bool) daisygap.GossipHeartbeat {
+		return daisygap.GossipHeartbeat{Name: name, Peer: &daisygap.Peer{Name: name}, Counter: 1, Leaving: leaving}
+	}
+	r.Merge([]daisygap.GossipHeartbeat{heartbeat("a", false), heartbeat("b", true)}, 0)
+	names := func(list []daisygap.GossipHeartbeat) []string {
+		var names []string
+		for _, h := range list {
+			names = append(names, h.Name)
+		}
+		return names
+	}
+	if diff := cmp.Diff([]string{"a", "b"}, names(r.MayRun(1))); diff != "" {
+		t.Errorf("at once (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"a"}, names(r.MayRun(30_000))); diff != "" {
+		t.Errorf("after 30 s of silence (-want +got):\n%s", diff)
+	}
+	r.Alive(forgetAfter + 1)
+	if diff := cmp.Diff([]string(nil), names(r.MayRun(forgetAfter+1))); diff != "" {
+		t.Errorf("once forgotten (-want +got):\n%s", diff)
+	}
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -43,6 +44,8 @@
 	Log     *logrus.Logger
 	// MirrorDelay is how long a daemon that got an update waits until it asks for the next one.
 	MirrorDelay time.Duration
+	// PeersCut cuts all daemons off from each other.
+	PeersCut atomic.Bool
 	// MemoryMB is the memory setting of the daemons.
 	MemoryMB int
 	Store    *store.Server
@@ -182,7 +185,7 @@
 	d := &steer.Daemon{
 		Settings: settings, Clock: s.Clock,
 		Store:    &platform.Store{Base: s.storeServer.URL, Host: name, HTTP: &http.Client{}},
-		Peers:    delayedPeers{&peer.Client{}, s.MirrorDelay},
+		Peers:    cuttablePeers{&peer.Client{}, s},
 		Upstream: upstream.NewClient(nil, upstream.NewDialer(350, 1_000).DialContext),
 		Protocol: platform.Protocol{}, StoreSchema: platform.Catalogue{},
 		Log: daisygap.Log{Prefix: "steer", Host: name, Out: s.Log},
@@ -202,18 +205,39 @@
 	return started, nil
 }
 
-// delayedPeers delays a daemon's requests for updates, as a lack of processor time does.
-type delayedPeers struct {
+// cuttablePeers delays a daemon's requests for updates, as a lack of processor time does, and can be cut.
+type cuttablePeers struct {
 	daisygap.SteeringPeers
-	delay time.Duration
+	site *Site
 }
 
+var errPeersCut = errors.New("daemons are cut off from each other")
+
 // Mirror fetches an update after the delay.
-func (p delayedPeers) Mirror(ctx context.Context, address string, q daisygap.MirrorQuery) (daisygap.StoreUpdate, error) {
-	time.Sleep(p.delay)
+func (p cuttablePeers) Mirror(ctx context.Context, address string, q daisygap.MirrorQuery) (daisygap.StoreUpdate, error) {
+	if p.site.PeersCut.Load() {
+		return daisygap.StoreUpdate{}, errPeersCut
+	}
+	time.Sleep(p.site.MirrorDelay)
 	return p.SteeringPeers.Mirror(ctx, address, q)
 }
 
+// Gossip exchanges messages unless the daemons are cut off.
+func (p cuttablePeers) Gossip(address string, g daisygap.Gossip) (daisygap.Gossip, error) {
+	if p.site.PeersCut.Load() {
+		return daisygap.Gossip{}, errPeersCut
+	}
+	return p.SteeringPeers.Gossip(address, g)
+}
+
+// Permit asks for a permit unless the daemons are cut off.
+func (p cuttablePeers) Permit(ctx context.Context, address string, r daisygap.PermitRequest) (daisygap.PermitReply, error) {
+	if p.site.PeersCut.Load() {
+		return daisygap.PermitReply{}, errPeersCut
+	}
+	return p.SteeringPeers.Permit(ctx, address, r)
+}
+
 // Stop stops a daemon abruptly, without draining, and waits for its goroutines.
 func (d *Daemon) Stop() {
 	d.Cancel()
