upstream, steer: an idle connection that ends early shows the end of a process

A server that was back within some 20 ms, before any dial was refused, still counted as the warm process until its entry arrived.

All daemons with a kept connection see its end at once. An upstream that ends one within a second of its last answer, unannounced, now counts as ended like one that refuses a dial.

A report of a status check now also counts if the receiver saw the end up to 100 ms after it, and an end that is reported by another daemon lets requests leave their region as an own failure does.

--- a/internal/adapter/upstream/client.go
+++ b/internal/adapter/upstream/client.go
@@ -33,6 +33,10 @@
 // Client sends requests to upstreams or to other entry hosts. It never sends a request again by itself, unless Send is called
 // with mayRepeat set.
 type Client struct {
+	// OnEarlyEnd, if not nil, is called with an address when the other side ends an idle connection within a second of its latest
+	// response, which didn't announce that. It must be set before the first request.
+	OnEarlyEnd func(address string)
+
 	transport *http.Transport
 }
 
@@ -45,8 +49,9 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Client{transport: &http.Transport{
-		DialContext:            countWrites(dial),
+	c := &Client{}
+	c.transport = &http.Transport{
+		DialContext:            c.track(dial),
 		TLSClientConfig:        tlsConfig,
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        idleTimeout,
@@ -54,7 +59,8 @@
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		WriteBufferSize:        bufferBytes,
 		ReadBufferSize:         bufferBytes,
-	}}
+	}
+	return c
 }
 
 // SetIdleTimeout sets the time after which an unused connection is closed. It must be called before the first request.
--- a/internal/adapter/upstream/client_test.go
+++ b/internal/adapter/upstream/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/daisygap/daisygap"
 )
@@ -163,3 +165,50 @@
 		}
 	}
 }
+
+// TestEarlyEndOfIdleConnectionIsReported tells the end of a process from the other reasons for which a connection ends.
+func TestEarlyEndOfIdleConnectionIsReported(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// closes reports whether the response announces the end of its connection.
+		closes bool
+		idle   time.Duration
+		want   int32
+	}{
+		{"process ends", false, 100 * time.Millisecond, 1},
+		{"announced", true, 100 * time.Millisecond, 0},
+		{"idle for long", false, 1_100 * time.Millisecond, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if tt.closes {
+					w.Header().Set("Connection", "close")
+				}
+				_, _ = w.Write([]byte("body"))
+			}))
+			defer s.Close()
+			var ends atomic.Int32
+			c := NewClient(nil, nil)
+			defer c.Close()
+			c.OnEarlyEnd = func(address string) {
+				if address != s.Listener.Addr().String() {
+					t.Errorf("early end of a connection to %s", address)
+				}
+				ends.Add(1)
+			}
+			res, err := c.Send(context.Background(), newRequest(t, http.MethodGet, s.URL, ""), false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, res.Body)
+			_ = res.Body.Close()
+			time.Sleep(tt.idle)
+			s.CloseClientConnections()
+			time.Sleep(100 * time.Millisecond)
+			if n := ends.Load(); n != tt.want {
+				t.Errorf("%d early ends, want %d", n, tt.want)
+			}
+		})
+	}
+}
--- a/internal/adapter/upstream/conn.go
+++ b/internal/adapter/upstream/conn.go
@@ -3,15 +3,43 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/daisygap/daisygap"
 )
 
-// countedConn counts the bytes that were written to a connection.
+// maxEarlyIdle is the idle time below which a server has no reason to close a connection that it didn't announce to close, other than its
+// end. Servers state their idle timeouts in whole seconds.
+const maxEarlyIdle = daisygap.Millis(1_000)
+
+// countedConn counts the bytes that were written to a connection, and notices that the other side ends it soon after a response.
 type countedConn struct {
 	net.Conn
 	written atomic.Int64
+	// idleSince is the Unix time in ms at which the latest complete response freed the connection, or 0 while a request uses it.
+	idleSince atomic.Int64
+	// onEnd, if not nil, is called when the other side ends the connection while it is idle.
+	onEnd func(idle daisygap.Millis)
+}
+
+// Read reads from the connection.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if since := c.idleSince.Load(); n == 0 && err != nil && since > 0 && c.onEnd != nil && isRemoteEnd(err) {
+		c.onEnd(daisygap.Millis(time.Now().UnixMilli() - since))
+	}
+	return n, err
+}
+
+// isRemoteEnd reports whether an error of a read means that the other side ended the connection.
+func isRemoteEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // Write writes to the connection.
@@ -21,14 +49,18 @@
 	return n, err
 }
 
-// countWrites returns a dial function whose connections count the bytes written.
-func countWrites(dial Dial) Dial {
+// track returns a dial function whose connections count the bytes written and call OnEarlyEnd.
+func (c *Client) track(dial Dial) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: conn}, nil
+		return &countedConn{Conn: conn, onEnd: func(idle daisygap.Millis) {
+			if c.OnEarlyEnd != nil && idle < maxEarlyIdle {
+				c.OnEarlyEnd(address)
+			}
+		}}, nil
 	}
 }
 
@@ -43,12 +75,13 @@
 }
 
 func (u *connUse) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+	return &httptrace.ClientTrace{PutIdleConn: u.release, GotConn: func(i httptrace.GotConnInfo) {
 		conn := i.Conn
 		if secure, ok := conn.(*tls.Conn); ok {
 			conn = secure.NetConn()
 		}
 		if counted, ok := conn.(*countedConn); ok {
+			counted.idleSince.Store(0)
 			u.before.Store(counted.written.Load())
 			u.conn.Store(counted)
 		}
@@ -57,6 +90,13 @@
 	}}
 }
 
+// release marks the connection as idle, unless it can't be used again.
+func (u *connUse) release(err error) {
+	if c := u.conn.Load(); c != nil && err == nil {
+		c.idleSince.Store(time.Now().UnixMilli())
+	}
+}
+
 // isUnsent reports whether a connection was found and no byte of the request was written to it. It must be called after the request
 // has failed.
 func (u *connUse) isUnsent() bool {
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -84,6 +84,7 @@
 	d.budgets.ratio, d.budgets.slack = s.Steering.RetryRatio, s.Steering.RetrySlack
 	// The error is ignored: the settings were validated when they were loaded, and without a window there is no slack.
 	d.budgets.window, _ = s.Steering.RetryWindow.Millis()
+	d.Upstream.OnEarlyEnd = d.noteEarlyEnd
 	d.startedAt = d.Clock.Now()
 	d.updateDaemonNames()
 	d.Log.Event("start", daisygap.Fields{"host": s.Host, "domain": s.Domain, "region": s.Region, "run": d.membership.roster.Self.Peer.Incarnation})
--- a/internal/daemon/steer/restart.go
+++ b/internal/daemon/steer/restart.go
@@ -12,15 +12,17 @@
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/adapter/upstream"
 	"github.com/daisygap/daisygap/internal/policy/placement"
+	"github.com/daisygap/daisygap/internal/policy/poison"
 )
 
 // statusTimeout bounds one status check.
 const statusTimeout = daisygap.Millis(1_000)
 
 var (
-	statusChecks     = metrics.NewCounter(`daisygap_status_checks_total`)
-	endedByRefusal   = metrics.NewCounter(`daisygap_ended_processes_total{source="refused"}`)
-	restartsReported = metrics.NewCounter(`daisygap_ended_processes_total{source="peer"}`)
+	statusChecks      = metrics.NewCounter(`daisygap_status_checks_total`)
+	endedByRefusal    = metrics.NewCounter(`daisygap_ended_processes_total{source="refused"}`)
+	endedByConnection = metrics.NewCounter(`daisygap_ended_processes_total{source="connection"}`)
+	restartsReported  = metrics.NewCounter(`daisygap_ended_processes_total{source="peer"}`)
 )
 
 // startStatusCheck starts a status check of an upstream.
@@ -79,7 +81,19 @@
 	}
 	endedByRefusal.Inc()
 	d.event("upstream ended", "upstream ended", func() daisygap.Fields {
-		return daisygap.Fields{"upstream": p.ID, "run": p.StartTime}
+		return daisygap.Fields{"upstream": p.ID, "run": p.StartTime, "evidence": poison.Refused}
+	})
+	d.wakeCrashPush()
+}
+
+// noteEarlyEnd records that an upstream ended an idle connection as a process does that ends.
+func (d *Daemon) noteEarlyEnd(address string) {
+	if !d.fleet.NoteEarlyEnd(address, d.Clock.Now()) {
+		return
+	}
+	endedByConnection.Inc()
+	d.event("upstream ended", "upstream ended", func() daisygap.Fields {
+		return daisygap.Fields{"address": address, "evidence": "idle connection ended"}
 	})
 	d.wakeCrashPush()
 }
--- a/internal/daemon/steer/restart_test.go
+++ b/internal/daemon/steer/restart_test.go
@@ -89,6 +89,8 @@
 		{"all daemons busy", 8, 1_200 * time.Millisecond, 700 * time.Millisecond},
 		{"one daemon busy", 1, 1_200 * time.Millisecond, 700 * time.Millisecond},
 		{"short", 8, 300 * time.Millisecond, 700 * time.Millisecond},
+		{"at once, store late", 8, 0, 2 * time.Second},
+		{"at once between requests, store late", 0, 0, 2 * time.Second},
 		{"long, store late", 8, 4 * time.Second, 3 * time.Second},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -98,6 +100,7 @@
 			time.Sleep(time.Second)
 			old := ts.busiestServer()
 			hot.setIdle(tt.busy, true)
+			time.Sleep(50 * time.Millisecond)
 			old.Close()
 			time.Sleep(tt.down)
 			var arrivals arrivalTimes
--- a/internal/policy/placement/fleet.go
+++ b/internal/policy/placement/fleet.go
@@ -32,7 +32,9 @@
 	pools     atomic.Pointer[map[string]*Pool]
 	daemons   atomic.Pointer[[]string]
 	// byShortID finds upstreams by the ID that gossip messages use.
-	byShortID    atomic.Pointer[map[uint32]*Upstream]
+	byShortID atomic.Pointer[map[uint32]*Upstream]
+	// byAddress finds upstreams by their addresses.
+	byAddress    atomic.Pointer[map[string]*Upstream]
 	observations loadRing
 	shifts       shiftLimiter
 	notices      notices
@@ -87,10 +89,15 @@
 		}
 	}
 	byShortID := make(map[uint32]*Upstream, len(f.upstreams))
+	byAddress := make(map[string]*Upstream, len(f.upstreams))
 	for _, u := range f.upstreams {
 		byShortID[u.shortID()] = u
+		if other := byAddress[u.Address]; other == nil || other.StartTime < u.StartTime {
+			byAddress[u.Address] = u
+		}
 	}
 	f.byShortID.Store(&byShortID)
+	f.byAddress.Store(&byAddress)
 	old := f.Pools()
 	pools := make(map[string]*Pool, len(limits))
 	for name, l := range limits {
--- a/internal/policy/placement/restart.go
+++ b/internal/policy/placement/restart.go
@@ -21,6 +21,8 @@
 	maxCheckAge = daisygap.Millis(5_000)
 	// brokenCheckInterval is the minimum time between status checks because connections broke.
 	brokenCheckInterval = daisygap.Millis(1_000)
+	// ignoreEndsPeriod is how long early ends of connections are no evidence after a status check found a process that isn't cold.
+	ignoreEndsPeriod = daisygap.Millis(30_000)
 )
 
 // restart is what this daemon knows about the process at an upstream's address since the registered one may have ended. A process that
@@ -34,6 +36,8 @@
 	// checkedAt is when the latest known status check reached a process, and checkStarted when this daemon started its own pending one.
 	checkedAt    daisygap.Millis
 	checkStarted daisygap.Millis
+	// ignoreEndsUntil is the time until which early ends of connections are no evidence, because the process has them without ending.
+	ignoreEndsUntil daisygap.Millis
 }
 
 // isUnknown reports whether a status check must reach the upstream before its next request.
@@ -75,7 +79,7 @@
 	switch {
 	case !s.Reached:
 		p.recordUnreachable(u, s.Refused, now)
-		return CheckResult{News: s.Refused && f.markEnded(u, now)}
+		return CheckResult{News: s.Refused && f.markEnded(p, u, now)}
 	case s.Instance != "" && s.Instance != u.ID:
 		u.downUntil = now + maxDownPeriod
 		return CheckResult{}
@@ -93,6 +97,9 @@
 	u.setCold(s.Cold, now)
 	u.connectFailures, u.downUntil = 0, 0
 	u.restart = restart{checkedAt: now}
+	if s.KnowsCold && s.Cold == 0 {
+		u.restart.ignoreEndsUntil = now + ignoreEndsPeriod
+	}
 	if r.News {
 		f.restarts.add(u.shortID(), now)
 	}
@@ -107,19 +114,40 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return f.markEnded(u, now)
+	return f.markEnded(p, u, now)
 }
 
 // markEnded marks an upstream's process as ended; the caller holds the lock of the pool.
-func (f *Fleet) markEnded(u *Upstream, at daisygap.Millis) bool {
+func (f *Fleet) markEnded(p *Pool, u *Upstream, at daisygap.Millis) bool {
 	news := u.restart.endedAt == 0
 	u.restart.endedAt = max(u.restart.endedAt, at)
 	if news {
+		p.unlimitedUntil = max(p.unlimitedUntil, at+unlimitedPeriod)
 		f.restarts.add(u.shortID(), at)
 	}
 	return news
 }
 
+// NoteEarlyEnd records that an upstream ended an idle connection soon after a response without announcing it, which a process that ends does
+// to all its connections. It reports whether other daemons need to know of it.
+func (f *Fleet) NoteEarlyEnd(address string, now daisygap.Millis) bool {
+	known := f.byAddress.Load()
+	if known == nil || (*known)[address] == nil {
+		return false
+	}
+	u := (*known)[address]
+	p := f.Pool(u.Pool)
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u.leaving || u.Draining || now < u.restart.ignoreEndsUntil {
+		return false
+	}
+	return f.markEnded(p, u, now)
+}
+
 // findByShortID returns the upstream with an ID of gossip messages, and its pool, or nil.
 func (f *Fleet) findByShortID(id uint32) (*Upstream, *Pool) {
 	known := f.byShortID.Load()
@@ -285,7 +313,7 @@
 		if r.Checked {
 			news = f.mergeCheck(p, u, r, now) || news
 		} else if at := now - r.Age - reportDelay; at > u.restart.checkedAt {
-			news = f.markEnded(u, max(at, 1)) || news
+			news = f.markEnded(p, u, max(at, 1)) || news
 		}
 		p.mu.Unlock()
 	}
@@ -296,7 +324,7 @@
 func (f *Fleet) mergeCheck(p *Pool, u *Upstream, r daisygap.RestartReport, now daisygap.Millis) bool {
 	at := now - r.Age
 	wasCold := u.isCold(now)
-	if at < u.restart.endedAt || u.restart.endedAt == 0 && (r.Cold == 0 || wasCold) {
+	if at+reportDelay < u.restart.endedAt || u.restart.endedAt == 0 && (r.Cold == 0 || wasCold) {
 		return false
 	}
 	u.setCold(min(r.Cold, p.limits.ColdPeriod), now)
@@ -304,6 +332,9 @@
 		u.connectFailures, u.downUntil = 0, 0
 	}
 	u.restart.endedAt, u.restart.checkedAt = 0, max(u.restart.checkedAt, at)
+	if r.Cold == 0 {
+		u.restart.ignoreEndsUntil = now + ignoreEndsPeriod
+	}
 	f.restarts.add(u.shortID(), now)
 	return true
 }
