steer: name the messages with crashes and restarts after what they bring

wakeCrashPush and its like send restart reports too; they are wakeNewsPush, runNewsPush, pushNews and newsPush... now, and CrashesOnly is NewsOnly. Names only; the field of the message is the same.

--- a/gossip.go
+++ b/gossip.go
@@ -120,8 +120,8 @@
 	Heartbeats []GossipHeartbeat `json:"b"`
 	Crashes    []CrashReport     `json:"x,omitempty"`
 	Answers    []AnswerReport    `json:"w,omitempty"`
-	// CrashesOnly is set in a message that only brings new reports of crashes and restarts. Its reply is empty.
-	CrashesOnly bool `json:"o,omitempty"`
+	// NewsOnly is set in a message that only brings new reports of crashes and restarts. Its reply is empty.
+	NewsOnly bool `json:"o,omitempty"`
 	// AllCrashes asks for all reports that the receiver holds, and not only for the recent ones.
 	AllCrashes bool              `json:"q,omitempty"`
 	Loads      []LoadObservation `json:"l,omitempty"`
--- a/internal/daemon/steer/crashes.go
+++ b/internal/daemon/steer/crashes.go
@@ -87,7 +87,7 @@
 func (d *Daemon) updateCrashes(f func(*poison.Tracker)) {
 	host := d.crashes.tracker.Host
 	if slices.ContainsFunc(d.updateTracker(f), func(c poison.Change) bool { return c.Kind == poison.Crashed && c.Host == host }) {
-		d.wakeCrashPush()
+		d.wakeNewsPush()
 	}
 }
 
--- a/internal/daemon/steer/crashsync.go
+++ b/internal/daemon/steer/crashsync.go
@@ -20,13 +20,13 @@
 	// crashSyncWait is how long requests wait for these reports, and crashSyncPeers the number of daemons asked.
 	crashSyncWait  = daisygap.Millis(300)
 	crashSyncPeers = 5
-	// crashPushDelay collects reports that arise together into one message.
-	crashPushDelay = daisygap.Millis(5)
-	// crashPushRate and crashPushBurst limit the rounds of messages per second, and crashPushFanout is the number of daemons that a
+	// newsPushDelay collects reports that arise together into one message.
+	newsPushDelay = daisygap.Millis(5)
+	// newsPushRate and newsPushBurst limit the rounds of messages per second, and newsPushFanout is the number of daemons that a
 	// round reaches in a large fleet, where each of them forwards the news.
-	crashPushRate   = 2
-	crashPushBurst  = 10
-	crashPushFanout = 8
+	newsPushRate   = 2
+	newsPushBurst  = 10
+	newsPushFanout = 8
 )
 
 // crashSync is the state of the exchange of all reports after this daemon started, or was frozen or cut off.
@@ -122,39 +122,39 @@
 	return list
 }
 
-func (d *Daemon) wakeCrashPush() {
+func (d *Daemon) wakeNewsPush() {
 	select {
 	case d.crashes.wake <- struct{}{}:
 	default:
 	}
 }
 
-// runCrashPush sends new reports of crashes and restarts to other daemons at once, since the next copy of the request, or the next request
+// runNewsPush sends new reports of crashes and restarts to other daemons at once, since the next copy of the request, or the next request
 // for the upstream, may arrive at any of them.
-func (d *Daemon) runCrashPush() {
-	limiter := rate.NewLimiter(crashPushRate, crashPushBurst)
+func (d *Daemon) runNewsPush() {
+	limiter := rate.NewLimiter(newsPushRate, newsPushBurst)
 	for {
 		select {
 		case <-d.ctx.Done():
 			return
 		case <-d.crashes.wake:
 		}
-		if limiter.Wait(d.ctx) != nil || !d.sleep(crashPushDelay) {
+		if limiter.Wait(d.ctx) != nil || !d.sleep(newsPushDelay) {
 			return
 		}
-		d.pushCrashes()
+		d.pushNews()
 	}
 }
 
-// pushCrashes sends new reports to all daemons of a small fleet, or to some of a large one.
-func (d *Daemon) pushCrashes() {
-	count, small := crashPushFanout, d.isSmallFleet()
+// pushNews sends new reports to all daemons of a small fleet, or to some of a large one.
+func (d *Daemon) pushNews() {
+	count, small := newsPushFanout, d.isSmallFleet()
 	if small {
 		count = smallFleet
 	}
 	c, now := &d.crashes, d.Clock.Now()
 	c.mu.Lock()
-	g := daisygap.Gossip{Crashes: c.tracker.TakeNews(!small, now), CrashesOnly: true}
+	g := daisygap.Gossip{Crashes: c.tracker.TakeNews(!small, now), NewsOnly: true}
 	c.mu.Unlock()
 	if g.Restarts = d.fleet.TakeRestartNews(now); len(g.Crashes)+len(g.Restarts) == 0 {
 		return
@@ -182,6 +182,6 @@
 	now := d.Clock.Now()
 	d.updateTracker(func(t *poison.Tracker) { news = t.Merge(g.Crashes, g.Answers, now) })
 	if news && !d.isSmallFleet() {
-		d.wakeCrashPush()
+		d.wakeNewsPush()
 	}
 }
--- a/internal/daemon/steer/gossip.go
+++ b/internal/daemon/steer/gossip.go
@@ -118,7 +118,7 @@
 
 // ServeGossip merges another daemon's gossip and returns this daemon's.
 func (d *Daemon) ServeGossip(g daisygap.Gossip) daisygap.Gossip {
-	if g.CrashesOnly {
+	if g.NewsOnly {
 		d.mergeCrashes(g)
 		d.mergeRestarts(g.Restarts)
 		return daisygap.Gossip{}
--- a/internal/daemon/steer/restart.go
+++ b/internal/daemon/steer/restart.go
@@ -39,7 +39,7 @@
 	}
 	r := d.fleet.Checked(u, s, d.Clock.Now())
 	if r.News {
-		d.wakeCrashPush()
+		d.wakeNewsPush()
 	}
 	if r.News || r.Failures > 0 {
 		d.event("upstream checked", "upstream checked", func() daisygap.Fields {
@@ -83,7 +83,7 @@
 	d.event("upstream ended", "upstream ended", func() daisygap.Fields {
 		return daisygap.Fields{"upstream": p.ID, "run": p.StartTime, "evidence": poison.Refused}
 	})
-	d.wakeCrashPush()
+	d.wakeNewsPush()
 }
 
 // noteEarlyEnd records that an upstream ended an idle connection as a process does that ends.
@@ -95,7 +95,7 @@
 	d.event("upstream ended", "upstream ended", func() daisygap.Fields {
 		return daisygap.Fields{"address": address, "evidence": "idle connection ended"}
 	})
-	d.wakeCrashPush()
+	d.wakeNewsPush()
 }
 
 // mergeRestarts merges another daemon's restart reports. In a large fleet it forwards what is new.
@@ -105,6 +105,6 @@
 	}
 	restartsReported.Inc()
 	if !d.isSmallFleet() {
-		d.wakeCrashPush()
+		d.wakeNewsPush()
 	}
 }
