steer: early ends of idle connections count at the daemon that saw them

Such an end may be a fault of the daemon's own network. It now leads to a check by that daemon alone; other daemons learn of a process that turns out to be cold. A check that isn't answered in time then no longer makes the upstream cold. The idle time is read from the monotonic clock, since the time of day may jump.

--- a/internal/adapter/upstream/conn.go
+++ b/internal/adapter/upstream/conn.go
@@ -9,7 +9,6 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"syscall"
-	"time"
 
 	"github.com/daisygap/daisygap"
 )
@@ -22,17 +21,19 @@
 type countedConn struct {
 	net.Conn
 	written atomic.Int64
-	// idleSince is the Unix time in ms at which the latest complete response freed the connection, or 0 while a request uses it.
+	clock   daisygap.Clock
+	// isIdle is set while no request uses the connection. Since idleSince it has been idle.
+	isIdle    atomic.Bool
 	idleSince atomic.Int64
-	// onEnd, if not nil, is called when the other side ends the connection while it is idle.
+	// onEnd is called when the other side ends the connection while it is idle.
 	onEnd func(idle daisygap.Millis)
 }
 
 // Read reads from the connection.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if since := c.idleSince.Load(); n == 0 && err != nil && since > 0 && c.onEnd != nil && isRemoteEnd(err) {
-		c.onEnd(daisygap.Millis(time.Now().UnixMilli() - since))
+	if n == 0 && err != nil && c.isIdle.Load() && isRemoteEnd(err) {
+		c.onEnd(c.clock.Now() - daisygap.Millis(c.idleSince.Load()))
 	}
 	return n, err
 }
@@ -81,7 +82,7 @@
 			conn = secure.NetConn()
 		}
 		if counted, ok := conn.(*countedConn); ok {
-			counted.idleSince.Store(0)
+			counted.isIdle.Store(false)
 			u.before.Store(counted.written.Load())
 			u.conn.Store(counted)
 		}
@@ -93,7 +94,8 @@
 // release marks the connection as idle, unless it can't be used again.
 func (u *connUse) release(err error) {
 	if c := u.conn.Load(); c != nil && err == nil {
-		c.idleSince.Store(time.Now().UnixMilli())
+		c.idleSince.Store(int64(c.clock.Now()))
+		c.isIdle.Store(true)
 	}
 }
 
--- a/internal/daemon/steer/restart.go
+++ b/internal/daemon/steer/restart.go
@@ -12,17 +12,16 @@
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/adapter/upstream"
 	"github.com/daisygap/daisygap/internal/policy/placement"
-	"github.com/daisygap/daisygap/internal/policy/poison"
 )
 
 // statusTimeout bounds one status check.
 const statusTimeout = daisygap.Millis(1_000)
 
 var (
-	statusChecks      = metrics.NewCounter(`daisygap_status_checks_total`)
-	endedByRefusal    = metrics.NewCounter(`daisygap_ended_processes_total{source="refused"}`)
-	endedByConnection = metrics.NewCounter(`daisygap_ended_processes_total{source="connection"}`)
-	restartsReported  = metrics.NewCounter(`daisygap_ended_processes_total{source="peer"}`)
+	statusChecks     = metrics.NewCounter(`daisygap_status_checks_total`)
+	endedByRefusal   = metrics.NewCounter(`daisygap_ended_processes_total{source="refused"}`)
+	earlyEnds        = metrics.NewCounter(`daisygap_early_ends_total`)
+	restartsReported = metrics.NewCounter(`daisygap_ended_processes_total{source="peer"}`)
 )
 
 // startStatusCheck starts a status check of an upstream.
@@ -81,21 +80,18 @@
 	}
 	endedByRefusal.Inc()
 	d.event("upstream ended", "upstream ended", func() daisygap.Fields {
-		return daisygap.Fields{"upstream": p.ID, "run": p.StartTime, "evidence": poison.Refused}
+		return daisygap.Fields{"upstream": p.ID, "run": p.StartTime}
 	})
 	d.wakeNewsPush()
 }
 
-// noteEarlyEnd records that an upstream ended an idle connection as a process does that ends.
+// noteEarlyEnd records that an upstream ended an idle connection, as a process does that ends.
 func (d *Daemon) noteEarlyEnd(address string) {
 	if !d.fleet.NoteEarlyEnd(address, d.Clock.Now()) {
 		return
 	}
-	endedByConnection.Inc()
-	d.event("upstream ended", "upstream ended", func() daisygap.Fields {
-		return daisygap.Fields{"address": address, "evidence": "idle connection ended"}
-	})
-	d.wakeNewsPush()
+	earlyEnds.Inc()
+	d.event("upstream doubted", "upstream doubted", func() daisygap.Fields { return daisygap.Fields{"address": address} })
 }
 
 // mergeRestarts merges another daemon's restart reports. In a large fleet it forwards what is new.
--- a/internal/policy/placement/restart.go
+++ b/internal/policy/placement/restart.go
@@ -31,8 +31,11 @@
 	// endedAt is the time of the latest evidence that the process ended, or 0 if there is none or a status check reached a process since
 	// then.
 	endedAt daisygap.Millis
-	// unreached is set if this daemon couldn't connect for another reason than that nothing listened there.
+	// unreached is set if this daemon couldn't connect for another reason than that nothing listened there. doubtedAt is when the upstream
+	// ended an idle connection early, or 0 if a status check reached it since. Both may be faults of this daemon or its network, so they
+	// count here alone.
 	unreached bool
+	doubtedAt daisygap.Millis
 	// checkedAt is when the latest known status check reached a process, and checkStarted when this daemon started its own pending one.
 	checkedAt    daisygap.Millis
 	checkStarted daisygap.Millis
@@ -42,7 +45,7 @@
 
 // isUnknown reports whether a status check must reach the upstream before its next request.
 func (r *restart) isUnknown() bool {
-	return r.endedAt > 0 || r.unreached
+	return r.endedAt > 0 || r.unreached || r.doubtedAt > 0
 }
 
 // StatusCheck is the result of a status check of an upstream.
@@ -89,7 +92,7 @@
 	}
 	if !s.KnowsCold {
 		s.Cold = 0
-		if u.restart.isUnknown() {
+		if u.restart.endedAt > 0 || u.restart.unreached {
 			s.Cold = p.limits.ColdPeriod
 		}
 	}
@@ -129,7 +132,7 @@
 }
 
 // NoteEarlyEnd records that an upstream ended an idle connection soon after a response without announcing it, which a process that ends does
-// to all its connections. It reports whether other daemons need to know of it.
+// to all its connections. It reports whether that leads to a status check.
 func (f *Fleet) NoteEarlyEnd(address string, now daisygap.Millis) bool {
 	known := f.byAddress.Load()
 	if known == nil || (*known)[address] == nil {
@@ -142,10 +145,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if u.leaving || u.Draining || now < u.restart.ignoreEndsUntil {
+	if u.leaving || u.Draining || now < u.restart.ignoreEndsUntil || u.restart.isUnknown() {
 		return false
 	}
-	return f.markEnded(p, u, now)
+	u.restart.doubtedAt = now
+	return true
 }
 
 // findByShortID returns the upstream with an ID of gossip messages, and its pool, or nil.
@@ -169,7 +173,7 @@
 	if !r.isUnknown() || now < u.downUntil {
 		return
 	}
-	if r.endedAt > 0 && !r.unreached && p.coldRankOf != nil {
+	if r.endedAt > 0 && !r.unreached && r.doubtedAt == 0 && p.coldRankOf != nil {
 		senders := coldSenders(p.limits.ColdRate) + int((now-r.endedAt)/checkTurn)
 		if p.coldRankOf(u) >= senders {
 			return
@@ -324,14 +328,14 @@
 func (f *Fleet) mergeCheck(p *Pool, u *Upstream, r daisygap.RestartReport, now daisygap.Millis) bool {
 	at := now - r.Age
 	wasCold := u.isCold(now)
-	if at+reportDelay < u.restart.endedAt || u.restart.endedAt == 0 && (r.Cold == 0 || wasCold) {
+	if at+reportDelay < max(u.restart.endedAt, u.restart.doubtedAt) || !u.restart.isUnknown() && (r.Cold == 0 || wasCold) {
 		return false
 	}
 	u.setCold(min(r.Cold, p.limits.ColdPeriod), now)
 	if !u.restart.unreached {
 		u.connectFailures, u.downUntil = 0, 0
 	}
-	u.restart.endedAt, u.restart.checkedAt = 0, max(u.restart.checkedAt, at)
+	u.restart.endedAt, u.restart.doubtedAt, u.restart.checkedAt = 0, 0, max(u.restart.checkedAt, at)
 	if r.Cold == 0 {
 		u.restart.ignoreEndsUntil = now + ignoreEndsPeriod
 	}
