placement: ends that other daemons report leave the spill limit alone

So an end counts for that limit as before: where this daemon itself couldn't connect, and when the list of upstreams changes.

--- a/internal/policy/placement/restart.go
+++ b/internal/policy/placement/restart.go
@@ -82,7 +82,7 @@
 	switch {
 	case !s.Reached:
 		p.recordUnreachable(u, s.Refused, now)
-		return CheckResult{News: s.Refused && f.markEnded(p, u, now)}
+		return CheckResult{News: s.Refused && f.markEnded(u, now)}
 	case s.Instance != "" && s.Instance != u.ID:
 		u.downUntil = now + maxDownPeriod
 		return CheckResult{}
@@ -117,15 +117,14 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return f.markEnded(p, u, now)
+	return f.markEnded(u, now)
 }
 
 // markEnded marks an upstream's process as ended; the caller holds the lock of the pool.
-func (f *Fleet) markEnded(p *Pool, u *Upstream, at daisygap.Millis) bool {
+func (f *Fleet) markEnded(u *Upstream, at daisygap.Millis) bool {
 	news := u.restart.endedAt == 0
 	u.restart.endedAt = max(u.restart.endedAt, at)
 	if news {
-		p.unlimitedUntil = max(p.unlimitedUntil, at+unlimitedPeriod)
 		f.restarts.add(u.shortID(), at)
 	}
 	return news
@@ -317,7 +316,7 @@
 		if r.Checked {
 			news = f.mergeCheck(p, u, r, now) || news
 		} else if at := now - r.Age - reportDelay; at > u.restart.checkedAt {
-			news = f.markEnded(p, u, max(at, 1)) || news
+			news = f.markEnded(u, max(at, 1)) || news
 		}
 		p.mu.Unlock()
 	}
