standin/port: processes get addresses of their own

Test packages run at once, and each process chose random ports of one range on 127.0.0.1; a port that was free when it was chosen could be taken by another process before the daemon listened, or while it restarted.

Free now uses a loopback IP derived from the process ID, as the soak did already. The stand-in servers, which chose a port of the kernel's that an outgoing connection can take while they restart, use it too. The patterns that mask addresses in golden files match any loopback address.

--- a/internal/daemon/steer/trace_test.go
+++ b/internal/daemon/steer/trace_test.go
@@ -89,7 +89,7 @@
 	{`\d\d:\d\d:\d\d\.\d{3}`, "TIME"},
 	{`request-\d+`, "REQUEST"},
 	{`run=\w{8,}`, "run=RUN"},
-	{`127\.0\.0\.1:\d+`, "ADDRESS"},
+	{`127(\.\d+){3}:\d+`, "ADDRESS"},
 	{` error=.*?( \w+=)`, " error=ERROR$1"},
 	{`(_ms|load|wait|revision|in_flight)=-?[\d.e-]+`, "$1=N"},
 	{`fingerprint=[0-9a-f]{16}`, "fingerprint=FINGERPRINT"},
--- a/internal/soak/fault/deployment.go
+++ b/internal/soak/fault/deployment.go
@@ -144,7 +144,7 @@
 		},
 	}
 	for _, address := range []*string{&s.CallerAddress, &s.PeerAddress, &s.Steering.DirectoryAddress, &s.Steering.ReadyAddress, &s.Steering.MetricsAddress} {
-		unused, err := port.FreeAt(port.UniqueIP())
+		unused, err := port.Free()
 		if err != nil {
 			return err
 		}
--- a/internal/standin/instance/server.go
+++ b/internal/standin/instance/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/standin/port"
 )
 
 // Fault selects how a server misbehaves on requests.
@@ -143,7 +144,10 @@
 func (s *Server) Run() error {
 	address := s.Listen
 	if address == "" {
-		address = "127.0.0.1:0"
+		var err error
+		if address, err = port.Free(); err != nil {
+			return err
+		}
 	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/standin/port/port.go
+++ b/internal/standin/port/port.go
@@ -22,26 +22,14 @@
 	allocated = make(map[int]bool)
 )
 
-// Free returns an address on 127.0.0.1 that nothing listens on. It returns each port at most once per process. The
-// error wraps that of the last attempt.
+// Free returns a loopback address that nothing listens on. It returns each port at most once per process, and other
+// processes get other IP addresses. The error wraps that of the last attempt.
 func Free() (string, error) {
-	return FreeAt("127.0.0.1")
-}
-
-// UniqueIP returns a loopback IP address derived from the process ID. Other processes that use UniqueIP get other
-// addresses, so that its ports stay free while their owner is down.
-func UniqueIP() string {
-	id := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+id>>16&0x7f, id>>8&0xff, id&0xff)
-}
-
-// FreeAt is like Free for the given loopback IP address.
-func FreeAt(ip string) (string, error) {
 	mu.Lock()
 	defer mu.Unlock()
 	var err error
+	ip := processIP()
 	for range maxTries {
-		// Ports are tried in random order because other processes search the same range.
 		n := firstPort + rand.IntN(lastPort-firstPort)
 		if allocated[n] {
 			continue
@@ -55,3 +43,9 @@
 	}
 	return "", fmt.Errorf("no free port from %d to %d: %w", firstPort, lastPort, err)
 }
+
+// processIP returns a loopback IP address derived from the process ID, so that ports stay free while their owner is down.
+func processIP() string {
+	id := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+id>>16&0x7f, id>>8&0xff, id&0xff)
+}
--- a/test/session_test.go
+++ b/test/session_test.go
@@ -63,7 +63,11 @@
 	env.Values["store"] = server
 	for i := range 2 {
 		u := &upstream.Server{Name: fmt.Sprintf("orders-%d", i+1), Clock: clock, Slots: 4, ServiceTime: 5, ResponseBytes: 100, RestartDelay: 200, Seed: 1}
-		if err := u.Run("127.0.0.1:0"); err != nil {
+		address, err := port.Free()
+		if err != nil {
+			return err
+		}
+		if err := u.Run(address); err != nil {
 			return err
 		}
 		env.Defer(u.Close)
@@ -158,7 +162,7 @@
 }
 
 var (
-	portPattern = regexp.MustCompile(`127\.0\.0\.1:\d+`)
+	portPattern = regexp.MustCompile(`127(\.\d+){3}:\d+`)
 	timePattern = regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d(:\d\d)?Z`)
 )
 
