platform, steer: a store that comes back from an older copy is followed

What callers would have seen: the replica takes an entry only with a higher revision, so daemons ignored all changes until the store's counter passed the old one; configurations, evacuations and departures were late or lost. Where a change was taken, the copy took back what had been acknowledged.

Change: StoreRevision holds the era above the store's number, so replica, relays and heartbeats order both as one. A watch from an earlier era returns ErrRestored, which reloads; a write that expects such a revision conflicts, and a lease of an earlier era has expired. In the first update of a new era, a missing evacuation stays in force for 10 s and a missing upstream for 1.8 s, and an upstream that had been removed isn't used for 4 s; a configuration with a lower version is ignored.

Not covered: a daemon that starts before the operator has written again knows only the copy, and the daemon with domain leases loses operators' patches that only the store held (docs/PLATFORM.md).

--- a/gossip.go
+++ b/gossip.go
@@ -15,7 +15,7 @@
 	// Ready reports whether the daemon has a configuration and accepts callers.
 	Ready bool `json:"k,omitempty"`
 	// Revision is the store revision of the daemon's replica.
-	Revision uint64 `json:"r,omitempty"`
+	Revision StoreRevision `json:"r,omitempty"`
 	// StoreLost reports whether the daemon's last call of the store failed.
 	StoreLost bool `json:"d,omitempty"`
 }
@@ -133,7 +133,7 @@
 type StoreUpdate struct {
 	Entries []StoreEntry `json:"e,omitempty"`
 	// Revision is the revision of the receiver after it has applied the update.
-	Revision uint64 `json:"r"`
+	Revision StoreRevision `json:"r"`
 	// Full reports whether the update is a full copy, so that entries which it does not contain do not exist.
 	Full bool `json:"f,omitempty"`
 	// Skips reports whether an entry that was written and deleted meanwhile may be missing from the update.
@@ -147,7 +147,7 @@
 // MirrorQuery asks a daemon for the changes of its replica of the store.
 type MirrorQuery struct {
 	// After is the revision of the caller's replica.
-	After uint64 `json:"a"`
+	After StoreRevision `json:"a"`
 	// Wait is how long to wait for the first change.
 	Wait Millis `json:"w,omitempty"`
 	// FromStore asks for a response without a wait when the daemon can't reach the store, so that the caller can choose another
--- a/internal/adapter/peer/steering_test.go
+++ b/internal/adapter/peer/steering_test.go
@@ -16,8 +16,8 @@
 // waitingService holds each mirror query until its context ends.
 type waitingService struct {
 	daisygap.SteeringService
-	started chan uint64
-	ended   chan uint64
+	started chan daisygap.StoreRevision
+	ended   chan daisygap.StoreRevision
 }
 
 func (s waitingService) ServeMirror(ctx context.Context, q daisygap.MirrorQuery) daisygap.StoreUpdate {
@@ -33,14 +33,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	service := waitingService{started: make(chan uint64, 2), ended: make(chan uint64, 2)}
+	service := waitingService{started: make(chan daisygap.StoreRevision, 2), ended: make(chan daisygap.StoreRevision, 2)}
 	s := &Server{Steering: service}
 	go s.Run(l)
 	defer s.Close()
 	defer func() { _ = l.Close() }()
 	c := &Client{}
 	defer c.Close()
-	poll := func(after uint64) context.CancelFunc {
+	poll := func(after daisygap.StoreRevision) context.CancelFunc {
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() { _, _ = c.Mirror(ctx, l.Addr().String(), daisygap.MirrorQuery{After: after, Wait: 5_000}) }()
 		if got := <-service.started; got != after {
--- a/internal/adapter/peer/update.go
+++ b/internal/adapter/peer/update.go
@@ -45,13 +45,13 @@
 type updatePacker struct {
 	mu sync.Mutex
 	// after is the revision that the last update leads on from, and last the update without its entries.
-	after uint64
+	after daisygap.StoreRevision
 	last  daisygap.StoreUpdate
 	at    time.Time
 	data  []byte
 }
 
-func (p *updatePacker) pack(after uint64, u daisygap.StoreUpdate) ([]byte, error) {
+func (p *updatePacker) pack(after daisygap.StoreRevision, u daisygap.StoreUpdate) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	same := p.after == after && p.last.Revision == u.Revision && p.last.Full == u.Full && p.last.StoreLost == u.StoreLost
--- a/internal/daemon/entry/configuration.go
+++ b/internal/daemon/entry/configuration.go
@@ -180,7 +180,7 @@
 }
 
 // readVersions applies the versions in the store that are newer than the current one, and returns the store's revision.
-func (d *Daemon) readVersions(ctx context.Context) (uint64, error) {
+func (d *Daemon) readVersions(ctx context.Context) (daisygap.StoreRevision, error) {
 	for {
 		batch, err := d.Store.List(ctx, versionPrefix, versionKey(d.Version()))
 		if err != nil {
@@ -327,7 +327,7 @@
 	}
 }
 
-func (d *Daemon) watch(revision uint64) error {
+func (d *Daemon) watch(revision daisygap.StoreRevision) error {
 	for d.holdsStoreLease() {
 		batch, err := d.Store.Watch(d.ctx, versionPrefix, revision, d.Timing.WatchTimeout)
 		if err != nil {
--- a/internal/daemon/entry/leaseholder.go
+++ b/internal/daemon/entry/leaseholder.go
@@ -80,7 +80,7 @@
 
 // startEpoch increments the epoch in the view key, which fences the writes of a former leaseholder. It reports first if the
 // domain had no view before.
-func (d *Daemon) startEpoch() (view daisygap.View, revision uint64, first bool, err error) {
+func (d *Daemon) startEpoch() (view daisygap.View, revision daisygap.StoreRevision, first bool, err error) {
 	entry, err := d.Store.Get(d.ctx, d.viewKey())
 	if err != nil {
 		return view, 0, false, err
@@ -101,7 +101,7 @@
 }
 
 // writeView stores a view. If the response is lost, it reads the key back to learn whether the write took effect.
-func (d *Daemon) writeView(view daisygap.View, expect uint64) (uint64, error) {
+func (d *Daemon) writeView(view daisygap.View, expect daisygap.StoreRevision) (daisygap.StoreRevision, error) {
 	value, err := json.Marshal(viewValue{View: view, By: d.incarnation})
 	if err != nil {
 		return 0, err
@@ -148,7 +148,7 @@
 }
 
 // commitView stores a view and activates it.
-func (d *Daemon) commitView(next daisygap.View, expect uint64) {
+func (d *Daemon) commitView(next daisygap.View, expect daisygap.StoreRevision) {
 	revision, err := d.writeView(next, expect)
 	if err != nil {
 		d.Log.With("member").Warnf("cannot store the view: %v", err)
--- a/internal/daemon/entry/membership.go
+++ b/internal/daemon/entry/membership.go
@@ -19,7 +19,7 @@
 	member       membership.Member
 	leaseholder  *membership.Leaseholder
 	storeLease   string
-	viewRevision uint64
+	viewRevision daisygap.StoreRevision
 	renewedAt    daisygap.Millis
 	// renewTriedAt is the time of the last renewal attempt, and reacquireAt when to reacquire an expired lease, or 0.
 	renewTriedAt       daisygap.Millis
--- a/internal/daemon/steer/accounting.go
+++ b/internal/daemon/steer/accounting.go
@@ -23,6 +23,7 @@
 func init() {
 	metrics.NewGauge(`daisygap_configuration_version`, versionGauge.get)
 	metrics.NewGauge(`daisygap_store_revision`, revisionGauge.get)
+	metrics.NewGauge(`daisygap_store_era`, eraGauge.get)
 	metrics.NewGauge(`daisygap_suspected_requests`, suspectedGauge.get)
 	metrics.NewGauge(`daisygap_blocked_requests`, blockedGauge.get)
 	metrics.NewGauge(`daisygap_limited_upstreams`, limitedGauge.get)
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -56,7 +56,7 @@
 type snapshot struct {
 	config   *daisygap.SteeringConfig
 	table    *route.Table
-	revision uint64
+	revision daisygap.StoreRevision
 }
 
 // Run starts the control loops, which end when the context does.
--- a/internal/daemon/steer/register.go
+++ b/internal/daemon/steer/register.go
@@ -113,7 +113,7 @@
 }
 
 // revisionOf returns the revision of a key in the replica, or 0.
-func (d *Daemon) revisionOf(key string) uint64 {
+func (d *Daemon) revisionOf(key string) daisygap.StoreRevision {
 	d.replica.mu.Lock()
 	defer d.replica.mu.Unlock()
 	return d.replica.mirror.Entry(key).Revision
--- a/internal/daemon/steer/replica.go
+++ b/internal/daemon/steer/replica.go
@@ -26,13 +26,20 @@
 	bulkLapseCount     = 4
 	bulkLapseGrace     = daisygap.Millis(1_200)
 	lapseCheckInterval = daisygap.Millis(100)
+	// evacuationGrace is how long an evacuation that the store has lost by a restore stays in force. The operator writes it again.
+	evacuationGrace = daisygap.Millis(10_000)
+	// reappearanceDelay is how long the entry of an upstream that had been removed isn't used if a restore brings it back. Upstreams
+	// write their removal again as fast as their registration.
+	reappearanceDelay = daisygap.Millis(4_000)
 )
 
 var (
 	foreignEntries  = metrics.NewCounter(`daisygap_foreign_entries_total`)
+	storeRestores   = metrics.NewCounter(`daisygap_store_restores_total`)
 	outdatedEntries = metrics.NewCounter(`daisygap_outdated_entries_total`)
 	versionGauge    atomicGauge
 	revisionGauge   atomicGauge
+	eraGauge        atomicGauge
 )
 
 // storeReplica is the daemon's replica of the store, with the decoded entries.
@@ -44,6 +51,8 @@
 	newest map[string]daisygap.Instance
 	// lapsed holds the deleted keys whose entries stay in force, and until when.
 	lapsed map[string]daisygap.Millis
+	// reappeared holds the keys of removed upstreams that a restore of the store brought back, and until when they aren't used.
+	reappeared map[string]daisygap.Millis
 	// readAt holds the time at which a daemon first read the latest change of a key from the store, for recent changes.
 	readAt map[string]daisygap.Millis
 	// lastStoreFailure is when this daemon last failed to reach the store, and lastSourceFailure the same for the source of
@@ -88,16 +97,26 @@
 	d.dropImplausible(u.Entries)
 	before := d.replica.mirror.Revision()
 	changed := d.replica.mirror.Apply(u)
-	revisionGauge.set(d.replica.mirror.Revision())
+	revisionGauge.set(d.replica.mirror.Revision().InEra())
+	eraGauge.set(d.replica.mirror.Revision().Era())
 	if d.replica.mirror.Revision() > before {
 		d.replica.wakeWaiting()
 	}
 	if len(changed) == 0 {
 		return 0
 	}
+	restored := before > 0 && d.replica.mirror.Revision().Era() > before.Era()
+	if restored {
+		storeRestores.Inc()
+		d.Log.Event("store restored", daisygap.Fields{"revision": d.replica.mirror.Revision(), "before": before, "from": source})
+	}
 	d.replica.recordReadTimes(changed, now)
-	d.markLapses(changed, now)
+	d.markLapses(changed, restored, now)
 	for _, e := range changed {
+		if restored && d.reappears(e) {
+			d.replica.reappeared[e.Key] = now - e.Age + reappearanceDelay
+			continue
+		}
 		d.applyEntry(e, source)
 	}
 	d.rebuild(now)
@@ -143,7 +162,9 @@
 		r.decoded = make(map[string]daisygap.DecodedEntry)
 		r.newest = make(map[string]daisygap.Instance)
 		r.lapsed = make(map[string]daisygap.Millis)
+		r.reappeared = make(map[string]daisygap.Millis)
 	}
+	delete(r.reappeared, e.Key)
 	if e.Deleted {
 		if _, lapsed := r.lapsed[e.Key]; !lapsed {
 			d.noteProcessEnd(r.decoded[e.Key].Instance, poison.Removed)
@@ -173,6 +194,13 @@
 		})
 		return
 	}
+	if old := r.decoded[e.Key].Steering; decoded.Steering != nil && old != nil && decoded.Steering.Version < old.Version {
+		outdatedEntries.Inc()
+		d.event("outdated entry", "outdated entry", func() daisygap.Fields {
+			return daisygap.Fields{"key": e.Key, "revision": e.Revision, "from": source, "version": decoded.Steering.Version}
+		})
+		return
+	}
 	if decoded.Peer != nil {
 		d.addContact(*decoded.Peer)
 	}
@@ -186,6 +214,19 @@
 	d.logDecoded(e, decoded, source)
 }
 
+// reappears reports whether a restore of the store has brought back the entry of an upstream that was removed before.
+func (d *Daemon) reappears(e daisygap.StoreEntry) bool {
+	if e.Deleted || d.replica.decoded[e.Key].Instance != nil {
+		return false
+	}
+	decoded, err := d.StoreSchema.Decode(e)
+	if err != nil || decoded.Instance == nil {
+		return false
+	}
+	last, known := d.replica.newest[decoded.Instance.ID]
+	return known && last.StartTime == decoded.Instance.StartTime && decoded.Instance.Sequence <= last.Sequence
+}
+
 // noteProcessEnd records that the store shows the end of a process that hadn't announced its departure.
 func (d *Daemon) noteProcessEnd(i *daisygap.Instance, evidence poison.Evidence) {
 	if i != nil && !i.Draining {
@@ -235,16 +276,19 @@
 }
 
 // markLapses keeps deleted entries of upstreams in force for a grace period when their leases may have expired only because
-// the store was unavailable. The period starts when a daemon first reads the deletion, so that the way to this daemon doesn't add to
-// it.
-func (d *Daemon) markLapses(changed []daisygap.StoreEntry, now daisygap.Millis) {
+// the store was unavailable, or when a restore of the store has lost them. The period starts when a daemon first reads the deletion, so
+// that the way to this daemon doesn't add to it.
+func (d *Daemon) markLapses(changed []daisygap.StoreEntry, restored bool, now daisygap.Millis) {
 	var deleted []daisygap.StoreEntry
 	for _, e := range changed {
 		if i := d.replica.decoded[e.Key].Instance; e.Deleted && i != nil && !i.Draining {
 			deleted = append(deleted, e)
 		}
+		if e.Deleted && restored && d.replica.decoded[e.Key].Evacuated != "" {
+			d.replica.lapsed[e.Key] = now - e.Age + evacuationGrace
+		}
 	}
-	recentFailure := d.replica.lastSourceFailure > 0 && now-d.replica.lastSourceFailure < lapseWindow
+	recentFailure := restored || d.replica.lastSourceFailure > 0 && now-d.replica.lastSourceFailure < lapseWindow
 	grace := lapseGrace
 	switch {
 	case recentFailure:
@@ -278,6 +322,12 @@
 			d.Log.Event("entry ended", daisygap.Fields{"key": key, "from": "lapse"})
 		}
 	}
+	for key, until := range d.replica.reappeared {
+		if now >= until {
+			d.applyEntry(d.replica.mirror.Entry(key), "reappearance")
+			changed = true
+		}
+	}
 	if changed {
 		d.rebuild(now)
 	}
@@ -314,7 +364,7 @@
 }
 
 // revision returns the store revision of the replica.
-func (d *Daemon) revision() uint64 {
+func (d *Daemon) revision() daisygap.StoreRevision {
 	d.replica.mu.Lock()
 	defer d.replica.mu.Unlock()
 	return d.replica.mirror.Revision()
--- a/internal/daemon/steer/watch.go
+++ b/internal/daemon/steer/watch.go
@@ -80,7 +80,7 @@
 	return ctx, cancel
 }
 
-// loadStore reads all entries. The pages are not a consistent snapshot, so the replica takes the revision of the first page.
+// loadStore reads all entries. It returns ErrRestored if the store began another era between two pages. The pages are not a consistent snapshot, so the replica takes the revision of the first page.
 // The watch then starts there and returns the changes that were made while the later pages were read.
 func (d *Daemon) loadStore() error {
 	var u daisygap.StoreUpdate
@@ -93,6 +93,9 @@
 		if u.Revision == 0 {
 			u.Revision = b.Revision
 		}
+		if b.Revision.Era() != u.Revision.Era() {
+			return daisygap.ErrRestored
+		}
 		u.Entries = append(u.Entries, b.Entries...)
 		if !b.More || len(b.Entries) == 0 {
 			break
--- a/internal/policy/mirror/mirror.go
+++ b/internal/policy/mirror/mirror.go
@@ -14,25 +14,25 @@
 type Mirror struct {
 	entries map[string]daisygap.StoreEntry
 	// tombstones holds the revisions of deletions, so that an older write can't restore an entry.
-	tombstones map[string]uint64
+	tombstones map[string]daisygap.StoreRevision
 	// log holds the latest changes. It is complete from the revision after logStart on.
 	log      []daisygap.StoreEntry
-	logStart uint64
+	logStart daisygap.StoreRevision
 	// gaps holds the ranges of revisions that the log skips. It leads over a gap as a whole, but not from a revision within it.
 	gaps     []gap
-	revision uint64
+	revision daisygap.StoreRevision
 }
 
 // gap is a range of revisions between two states of the copy whose single changes are unknown. An entry that was written and
 // deleted within it doesn't appear in the log.
-type gap struct{ from, to uint64 }
+type gap struct{ from, to daisygap.StoreRevision }
 
-func (g gap) contains(revision uint64) bool {
+func (g gap) contains(revision daisygap.StoreRevision) bool {
 	return g.from < revision && revision < g.to
 }
 
 // Revision returns the revision up to which the copy is complete, or 0 before the first full copy.
-func (m *Mirror) Revision() uint64 {
+func (m *Mirror) Revision() daisygap.StoreRevision {
 	return m.revision
 }
 
@@ -55,7 +55,7 @@
 func (m *Mirror) Apply(u daisygap.StoreUpdate) []daisygap.StoreEntry {
 	if m.entries == nil {
 		m.entries = make(map[string]daisygap.StoreEntry)
-		m.tombstones = make(map[string]uint64)
+		m.tombstones = make(map[string]daisygap.StoreRevision)
 	}
 	var changed []daisygap.StoreEntry
 	present := make(map[string]bool)
@@ -91,7 +91,7 @@
 }
 
 // deleteMissing deletes the entries that are missing from a full copy of the given revision and were not written after it.
-func (m *Mirror) deleteMissing(present map[string]bool, revision uint64) []daisygap.StoreEntry {
+func (m *Mirror) deleteMissing(present map[string]bool, revision daisygap.StoreRevision) []daisygap.StoreEntry {
 	var deleted []daisygap.StoreEntry
 	for key, e := range m.entries {
 		if !present[key] && e.Revision <= revision {
@@ -143,7 +143,7 @@
 }
 
 // Since returns the changes after a revision, or a full copy if the log doesn't lead there from it.
-func (m *Mirror) Since(revision uint64) daisygap.StoreUpdate {
+func (m *Mirror) Since(revision daisygap.StoreRevision) daisygap.StoreUpdate {
 	if revision >= m.revision {
 		return daisygap.StoreUpdate{Revision: m.revision}
 	}
--- a/internal/policy/mirror/mirror_test.go
+++ b/internal/policy/mirror/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"testing"
 
@@ -10,11 +11,11 @@
 	"github.com/daisygap/daisygap"
 )
 
-func put(key string, revision uint64) daisygap.StoreEntry {
+func put(key string, revision daisygap.StoreRevision) daisygap.StoreEntry {
 	return daisygap.StoreEntry{Key: key, Value: []byte(fmt.Sprint(revision)), Revision: revision}
 }
 
-func deleted(key string, revision uint64) daisygap.StoreEntry {
+func deleted(key string, revision daisygap.StoreRevision) daisygap.StoreEntry {
 	return daisygap.StoreEntry{Key: key, Revision: revision, Deleted: true}
 }
 
@@ -58,7 +59,7 @@
 		store := make(map[string]daisygap.StoreEntry)
 		var history []daisygap.StoreEntry
 		copies := make([]Mirror, 4)
-		for revision := uint64(1); revision <= 200; revision++ {
+		for revision := daisygap.StoreRevision(1); revision <= 200; revision++ {
 			e := put(fmt.Sprint("k", r.IntN(12)), revision)
 			if _, known := store[e.Key]; known && r.IntN(3) == 0 {
 				e = deleted(e.Key, revision)
@@ -88,7 +89,71 @@
 	}
 }
 
-func full(store map[string]daisygap.StoreEntry, revision uint64) daisygap.StoreUpdate {
+// TestCopiesConvergeAfterRestores is like TestCopiesConverge with a store that comes back from an older copy now and then and
+// assigns revisions again.
+func TestCopiesConvergeAfterRestores(t *testing.T) {
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 11))
+		store, saved := make(map[string]daisygap.StoreEntry), make(map[string]daisygap.StoreEntry)
+		var history []daisygap.StoreEntry
+		var era, last, savedLast uint64
+		copies := make([]Mirror, 4)
+		now := func() daisygap.StoreRevision { return daisygap.NewStoreRevision(era, last) }
+		for range 300 {
+			switch r.IntN(25) {
+			case 0:
+				saved, savedLast = maps.Clone(store), last
+			case 1:
+				store, last, history = maps.Clone(saved), savedLast, nil
+				era++
+				for key, e := range store {
+					e.Revision = daisygap.NewStoreRevision(era, e.Revision.InEra())
+					store[key] = e
+				}
+			}
+			last++
+			e := put(fmt.Sprint("k", r.IntN(12)), now())
+			if _, known := store[e.Key]; known && r.IntN(3) == 0 {
+				e = deleted(e.Key, now())
+				delete(store, e.Key)
+			} else {
+				store[e.Key] = e
+			}
+			history = append(history, e)
+			m := &copies[r.IntN(len(copies))]
+			switch r.IntN(3) {
+			case 0:
+				m.Apply(full(store, now()))
+			case 1:
+				if m.Revision() == 0 || m.Revision().Era() != era {
+					break
+				}
+				u := daisygap.StoreUpdate{Revision: now()}
+				for _, e := range history {
+					if e.Revision > m.Revision() {
+						u.Entries = append(u.Entries, e)
+					}
+				}
+				m.Apply(u)
+			case 2:
+				m.Apply(copies[r.IntN(len(copies))].Since(m.Revision()))
+			}
+		}
+		copies[0].Apply(full(store, now()))
+		for i := range copies {
+			copies[i].Apply(copies[0].Since(copies[i].Revision()))
+			got := make(map[string]daisygap.StoreEntry)
+			for _, e := range copies[i].Entries() {
+				got[e.Key] = e
+			}
+			if diff := cmp.Diff(store, got); diff != "" {
+				t.Fatalf("seed %d, copy %d (-want +got):\n%s", seed, i, diff)
+			}
+		}
+	}
+}
+
+func full(store map[string]daisygap.StoreEntry, revision daisygap.StoreRevision) daisygap.StoreUpdate {
 	u := daisygap.StoreUpdate{Revision: revision, Full: true}
 	for _, e := range store {
 		u.Entries = append(u.Entries, e)
@@ -100,7 +165,7 @@
 // and then sent all of them to each daemon that waits for changes.
 func TestFullCopyReachesOthersAsChanges(t *testing.T) {
 	store := make(map[string]daisygap.StoreEntry)
-	for revision := uint64(1); revision <= 2*maxLogEntries; revision++ {
+	for revision := daisygap.StoreRevision(1); revision <= 2*maxLogEntries; revision++ {
 		key := fmt.Sprint("k", revision)
 		store[key] = put(key, revision)
 	}
@@ -141,7 +206,7 @@
 func TestLaggingCopyGetsFullUpdate(t *testing.T) {
 	var m Mirror
 	m.Apply(daisygap.StoreUpdate{Revision: 1, Full: true})
-	for revision := uint64(2); revision < 3*maxLogEntries; revision++ {
+	for revision := daisygap.StoreRevision(2); revision < 3*maxLogEntries; revision++ {
 		m.Apply(daisygap.StoreUpdate{Entries: []daisygap.StoreEntry{put("k", revision)}, Revision: revision})
 	}
 	if u := m.Since(3); !u.Full {
--- a/internal/standin/store/memory.go
+++ b/internal/standin/store/memory.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -41,14 +43,23 @@
 	mu       sync.Mutex
 	entries  map[string]daisygap.StoreEntry
 	leases   map[string]*lease
-	revision uint64
+	revision daisygap.StoreRevision
 	// history holds the changes after revision compacted; older ones are no longer available.
 	history   []daisygap.StoreEntry
-	compacted uint64
+	compacted daisygap.StoreRevision
 	lastLease int
 	// changed is closed and replaced on every change, to wake up the watches.
 	changed chan struct{}
 	counts  Counts
+	era     uint64
+}
+
+// Copy is the state of a store at one moment.
+type Copy struct {
+	entries  map[string]daisygap.StoreEntry
+	leases   map[string]lease
+	history  []daisygap.StoreEntry
+	revision daisygap.StoreRevision
 }
 
 // NewMemory returns an empty store.
@@ -96,7 +107,7 @@
 
 // Swap writes a key if its revision is the expected one. An empty value deletes the key. It returns ErrConflict and the
 // current entry if the revision differs, and ErrLeaseExpired if the lease doesn't exist.
-func (m *Memory) Swap(_ context.Context, key string, value []byte, expect uint64, leaseName string) (daisygap.StoreEntry, error) {
+func (m *Memory) Swap(_ context.Context, key string, value []byte, expect daisygap.StoreRevision, leaseName string) (daisygap.StoreEntry, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expireLeases()
@@ -152,7 +163,7 @@
 
 // Watch waits for changes under a prefix after a revision, and returns an empty batch if there are none within the wait
 // time. It returns ErrCompacted if the history no longer reaches back to that revision.
-func (m *Memory) Watch(ctx context.Context, prefix string, after uint64, wait daisygap.Millis) (daisygap.StoreBatch, error) {
+func (m *Memory) Watch(ctx context.Context, prefix string, after daisygap.StoreRevision, wait daisygap.Millis) (daisygap.StoreBatch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
 	m.mu.Lock()
@@ -164,7 +175,7 @@
 	}()
 	for {
 		m.expireLeases()
-		if after < m.compacted {
+		if after < m.compacted || after > m.revision {
 			return daisygap.StoreBatch{}, daisygap.ErrCompacted
 		}
 		found := m.changesAfter(prefix, after)
@@ -181,6 +192,42 @@
 	}
 }
 
+// Copy returns the current state.
+func (m *Memory) Copy() *Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := &Copy{entries: maps.Clone(m.entries), leases: make(map[string]lease), history: slices.Clone(m.history), revision: m.revision}
+	for name, l := range m.leases {
+		c.leases[name] = lease{ttl: l.ttl, keys: maps.Clone(l.keys)}
+	}
+	return c
+}
+
+// Restore returns to the state of a copy and begins a new era. Leases of the copy run from now. Revisions and leases are assigned
+// again, and watches from a later revision fail with ErrCompacted.
+func (m *Memory) Restore(c *Copy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.entries, m.history, m.revision = maps.Clone(c.entries), slices.Clone(c.history), c.revision
+	m.leases, m.lastLease = make(map[string]*lease), 0
+	for name, l := range c.leases {
+		m.leases[name] = &lease{ttl: l.ttl, expiresAt: m.Clock.Now() + l.ttl, keys: maps.Clone(l.keys)}
+		if id, err := strconv.Atoi(name); err == nil {
+			m.lastLease = max(m.lastLease, id)
+		}
+	}
+	m.era++
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// currentEra returns the number of restores.
+func (m *Memory) currentEra() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
+}
+
 // Compact drops the history of changes, so that watches from older revisions fail with ErrCompacted.
 func (m *Memory) Compact() {
 	m.mu.Lock()
@@ -188,7 +235,7 @@
 	m.history, m.compacted = nil, m.revision
 }
 
-func (m *Memory) changesAfter(prefix string, after uint64) []daisygap.StoreEntry {
+func (m *Memory) changesAfter(prefix string, after daisygap.StoreRevision) []daisygap.StoreEntry {
 	var changes []daisygap.StoreEntry
 	for _, e := range m.history {
 		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
@@ -240,7 +287,7 @@
 func (m *Memory) dropLease(name string, l *lease) {
 	delete(m.leases, name)
 	for key := range l.keys {
-		if _, ok := m.entries[key]; ok {
+		if m.entries[key].Lease == name {
 			m.put(key, nil, "")
 		}
 	}
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -40,7 +40,7 @@
 	mu     sync.Mutex
 	faults Faults
 	// staleRevision is the revision at which the latest StaleLists fault started.
-	staleRevision uint64
+	staleRevision daisygap.StoreRevision
 	// silences is the number of Silent faults so far.
 	silences int
 	// partitioned is true for each host that can't reach the store.
@@ -96,7 +96,7 @@
 	s.watching[host] += change
 }
 
-func (m *Memory) currentRevision() uint64 {
+func (m *Memory) currentRevision() daisygap.StoreRevision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.revision
@@ -124,15 +124,16 @@
 		if !s.admit(w, r, s.Reads) {
 			return
 		}
-		before := s.silenceCount()
+		before, era := s.silenceCount(), s.Memory.currentEra()
 		result, err := op(w, r)
 		if s.silenceCount() != before {
 			<-r.Context().Done()
 			return
 		}
-		if s.isPartitioned(r) {
+		if s.isPartitioned(r) || s.Memory.currentEra() != era {
 			panic(http.ErrAbortHandler)
 		}
+		setEra(w, era)
 		writeResponse(w, result, err)
 	}
 }
@@ -142,14 +143,23 @@
 		if !s.admit(w, r, s.Writes) {
 			return
 		}
+		era := s.Memory.currentEra()
 		result, err := op(w, r)
-		if s.takeDroppedResponse() {
+		if s.takeDroppedResponse() || s.Memory.currentEra() != era {
 			panic(http.ErrAbortHandler)
 		}
+		setEra(w, era)
 		writeResponse(w, result, err)
 	}
 }
 
+// setEra names the era in a response. Stores that were never restored leave it out.
+func setEra(w http.ResponseWriter, era uint64) {
+	if era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+	}
+}
+
 // admit applies the faults and the rate limit to a call, and reports whether the call may proceed. It aborts the
 // connection of a call that must fail without a response.
 func (s *Server) admit(w http.ResponseWriter, r *http.Request, limit *rate.Limiter) bool {
@@ -220,7 +230,7 @@
 	q := r.URL.Query()
 	b, err := s.Memory.List(r.Context(), q.Get("prefix"), q.Get("after"))
 	b = s.limitToStaleRevision(b)
-	return page{Items: wireEntriesOf(b.Entries), More: b.More, AsOf: b.Revision}, err
+	return page{Items: wireEntriesOf(b.Entries), More: b.More, AsOf: b.Revision.InEra()}, err
 }
 
 func (s *Server) watch(_ http.ResponseWriter, r *http.Request) (any, error) {
@@ -236,9 +246,9 @@
 	host := r.Header.Get(daisygap.HeaderHost)
 	s.countWatch(host, 1)
 	defer s.countWatch(host, -1)
-	b, err := s.Memory.Watch(r.Context(), q.Get("prefix"), after, daisygap.Millis(wait))
+	b, err := s.Memory.Watch(r.Context(), q.Get("prefix"), daisygap.StoreRevision(after), daisygap.Millis(wait))
 	b = s.limitToStaleRevision(b)
-	return page{Events: wireEntriesOf(b.Entries), AsOf: b.Revision}, err
+	return page{Events: wireEntriesOf(b.Entries), AsOf: b.Revision.InEra()}, err
 }
 
 // limitToStaleRevision removes the entries that changed after the current StaleLists fault started, if there is one.
@@ -274,8 +284,8 @@
 			lease = strconv.FormatUint(t.Puts[0].Lease, 10)
 		}
 	}
-	e, err := s.Memory.Swap(r.Context(), t.Expect[0].Key, value, t.Expect[0].Revision, lease)
-	return revisionResponse{Revision: e.Revision}, err
+	e, err := s.Memory.Swap(r.Context(), t.Expect[0].Key, value, daisygap.StoreRevision(t.Expect[0].Revision), lease)
+	return revisionResponse{Revision: e.Revision.InEra()}, err
 }
 
 func (s *Server) grant(_ http.ResponseWriter, r *http.Request) (any, error) {
--- a/internal/standin/store/wire.go
+++ b/internal/standin/store/wire.go
@@ -52,7 +52,7 @@
 }
 
 func wireEntryOf(e daisygap.StoreEntry) wireEntry {
-	entry := wireEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
+	entry := wireEntry{Key: e.Key, Value: e.Value, Revision: e.Revision.InEra(), Deleted: e.Deleted}
 	// The name of a lease is its decimal number. A key without a lease has lease 0 on the wire.
 	entry.Lease, _ = strconv.ParseUint(e.Lease, 10, 64)
 	return entry
