steer: a relay that lost the store probes it and returns

KNOWN-RED 12 (TestDelayedUpdateDoesNotProlongUseOfLeavingServer, "timed out after 5 s waiting for the relays to watch the store again"): after an outage one daemon of a region reaches the store first and is its only relay. The other one, which is next by hash, follows it because it counts as having lost the store, and makes no call by which it would learn otherwise until its renewal, up to 12 s later. Until then the region depends on one relay.

Now such a daemon probes the store every 2 s, by a watch of 1 ms, and is a relay again only after its own watch was answered.

--- a/internal/daemon/steer/hint.go
+++ b/internal/daemon/steer/hint.go
@@ -36,7 +36,7 @@
 	m := &d.membership
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.relays(d.Clock.Now())[0].Name == m.roster.Self.Peer.Name
+	return relaysAmong(m.relayCandidates(d.Clock.Now()))[0].Name == m.roster.Self.Peer.Name
 }
 
 // writeHint replaces the region's hint. Another daemon's write since the last update is no error: its hint is as good.
--- a/internal/daemon/steer/relay.go
+++ b/internal/daemon/steer/relay.go
@@ -17,6 +17,10 @@
 	relayBackoffTime = daisygap.Millis(3_000)
 	// relaysPerRegion is the number of daemons per region that watch the store and relay its changes to the others, if they reach it.
 	relaysPerRegion = 2
+	// storeProbeInterval is the mean time between two probes of the store by a daemon that has lost it and would be a relay otherwise.
+	// A probe is a watch that waits for storeProbeWait.
+	storeProbeInterval = daisygap.Millis(2_000)
+	storeProbeWait     = daisygap.Millis(1)
 	// catchUpInterval is the time between two checks whether another daemon has a newer store revision.
 	catchUpInterval = daisygap.Millis(200)
 	// maxLag is how long this daemon's replica may be behind another daemon's before the changes are fetched from there.
@@ -33,25 +37,26 @@
 	m.relayBackoff[address] = until
 }
 
-// chooseRelay returns the daemon in this region that relays the store's changes to this one. It returns false when this daemon has
-// to watch the store itself.
-func (d *Daemon) chooseRelay() (daisygap.GossipHeartbeat, bool) {
+// chooseRelay returns the daemon in this region that relays the store's changes to this one, and whether this one would be a relay
+// itself if it hadn't lost the store (displaced). The relay's heartbeat is empty if this daemon has to watch the store itself.
+func (d *Daemon) chooseRelay() (relay daisygap.GossipHeartbeat, displaced bool) {
 	m := &d.membership
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	self := m.roster.Self.Name
-	relays := m.relays(d.Clock.Now())
-	slices.SortFunc(relays, func(a, b daisygap.GossipHeartbeat) int { return compareHash(self, a.Name, b.Name) })
-	if slices.ContainsFunc(relays, func(r daisygap.GossipHeartbeat) bool { return r.Name == self }) {
+	isSelf := func(r daisygap.GossipHeartbeat) bool { return r.Name == self }
+	candidates := m.relayCandidates(d.Clock.Now())
+	first := candidates[:min(len(candidates), relaysPerRegion)]
+	relays := relaysAmong(candidates)
+	if slices.ContainsFunc(relays, isSelf) {
 		return daisygap.GossipHeartbeat{}, false
 	}
-	return relays[0], true
+	displaced = slices.ContainsFunc(first, isSelf)
+	return slices.MinFunc(relays, func(a, b daisygap.GossipHeartbeat) int { return compareHash(self, a.Name, b.Name) }), displaced
 }
 
-// relays returns the daemons of this region that watch the store, the first one by hash first; the caller holds the lock. Daemons that
-// have lost the store are relays only if no other daemon is left. Since all daemons use the same order, and one that isn't a relay only
-// follows daemons before it, they never follow each other in a circle.
-func (m *membership) relays(now daisygap.Millis) []daisygap.GossipHeartbeat {
+// relayCandidates returns the daemons of this region, the first one by hash first; the caller holds the lock.
+func (m *membership) relayCandidates(now daisygap.Millis) []daisygap.GossipHeartbeat {
 	self := m.roster.Self
 	list := []daisygap.GossipHeartbeat{self}
 	for _, p := range m.roster.Alive(now) {
@@ -59,21 +64,27 @@
 			list = append(list, p)
 		}
 	}
-	lost := func(h daisygap.GossipHeartbeat) bool { return h.StoreLost }
-	if !slices.ContainsFunc(list, func(h daisygap.GossipHeartbeat) bool { return !h.StoreLost }) {
-		lost = func(daisygap.GossipHeartbeat) bool { return false }
-	}
-	list = slices.DeleteFunc(list, lost)
 	slices.SortFunc(list, func(a, b daisygap.GossipHeartbeat) int { return compareHash(self.Peer.Region, a.Name, b.Name) })
-	return list[:min(len(list), relaysPerRegion)]
+	return list
+}
+
+// relaysAmong returns the candidates that watch the store. Daemons that have lost the store are relays only if no other daemon is left.
+// Since all daemons use the same order, and one that isn't a relay only follows daemons before it, they never follow each other in
+// a circle.
+func relaysAmong(candidates []daisygap.GossipHeartbeat) []daisygap.GossipHeartbeat {
+	relays := slices.DeleteFunc(slices.Clone(candidates), func(h daisygap.GossipHeartbeat) bool { return h.StoreLost })
+	if len(relays) == 0 {
+		relays = candidates
+	}
+	return relays[:min(len(relays), relaysPerRegion)]
 }
 
-// watchRelay waits for changes at a relay, applies them and reports whether the relay answered.
-func (d *Daemon) watchRelay(relay daisygap.GossipHeartbeat) bool {
+// watchRelay waits up to the given time for changes at a relay, applies them and reports whether the relay answered.
+func (d *Daemon) watchRelay(relay daisygap.GossipHeartbeat, wait daisygap.Millis) bool {
 	ctx, cancel := d.watchContext()
 	defer cancel()
 	address := relay.Peer.Address
-	u, err := d.Peers.Mirror(ctx, address, daisygap.MirrorQuery{After: d.revision(), Wait: relayWait, FromStore: !relay.StoreLost})
+	u, err := d.Peers.Mirror(ctx, address, daisygap.MirrorQuery{After: d.revision(), Wait: wait, FromStore: !relay.StoreLost})
 	switch {
 	case err == nil:
 		d.apply(u, address)
--- a/internal/daemon/steer/relay_test.go
+++ b/internal/daemon/steer/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,6 +89,34 @@
 	}
 }
 
+// TestRelayThatLostTheStoreReturns guards against a region that is left with one relay after an outage, because the other one follows it
+// and makes no call by which it would notice that it reaches the store again.
+func TestRelayThatLostTheStoreReturns(t *testing.T) {
+	ts := start(t, "n-1", "n-1", "n-2")
+	ts.settleRelays()
+	watching := func() string {
+		var hosts []string
+		for _, d := range ts.daemons {
+			if ts.Store.IsWatching(d.Settings.Host) {
+				hosts = append(hosts, d.Settings.Host)
+			}
+		}
+		return strings.Join(hosts, " ")
+	}
+	var relays string
+	ts.await("two relays for 1 s", func() bool {
+		relays = watching()
+		time.Sleep(time.Second)
+		return strings.Count(relays, " ") == 1 && watching() == relays
+	})
+	host, _, _ := strings.Cut(relays, " ")
+	ts.Store.Partition(host, true)
+	ts.await("the relay to lose the store", func() bool { return !ts.Store.IsWatching(host) })
+	time.Sleep(300 * time.Millisecond)
+	ts.Store.Partition(host, false)
+	ts.await("the relay to watch the store again", func() bool { return ts.Store.IsWatching(host) })
+}
+
 // TestDelayedUpdateDoesNotProlongUseOfLeavingServer removes a server right after an outage of the store, while daemons ask each other
 // for updates 1.2 s late. The time for which the entry may only have lapsed must not start anew at each daemon.
 func TestDelayedUpdateDoesNotProlongUseOfLeavingServer(t *testing.T) {
--- a/internal/daemon/steer/watch.go
+++ b/internal/daemon/steer/watch.go
@@ -19,43 +19,71 @@
 
 var storeReachableGauge atomicGauge
 
+// watchState is the state of the loop that keeps the replica up to date.
+type watchState struct {
+	// loaded reports whether the replica leads on to the store's changes.
+	loaded bool
+	// source is the source of the last update, as in log lines.
+	source string
+	// probeAt is when a daemon that has lost the store probes it next.
+	probeAt daisygap.Millis
+}
+
 // runWatch keeps the replica up to date. A few daemons of each region watch the store and relay its changes to the others.
 func (d *Daemon) runWatch() {
-	loaded := false
-	var source string
+	var w watchState
 	for d.ctx.Err() == nil {
-		if loaded || d.revision() > 0 && d.membership.isStoreLost() {
-			relay, ok := d.chooseRelay()
-			source = d.noteSource(source, relay)
-			if ok {
-				// A relay's updates lead on from any revision, so the next watch can as well.
-				loaded = d.watchRelay(relay) || loaded
+		wait := watchTimeout
+		if w.loaded || d.revision() > 0 && d.membership.isStoreLost() {
+			var followed bool
+			if wait, followed = d.followRelay(&w); followed {
 				continue
 			}
 		}
 		var err error
-		if !loaded {
+		if !w.loaded {
 			err = d.loadStore()
-			loaded = err == nil
+			w.loaded = err == nil
 		} else {
-			err = d.watchStore()
+			err = d.watchStore(wait)
 		}
 		switch {
 		case err == nil:
 			d.noteStoreState(true, nil)
 		case errors.Is(err, daisygap.ErrCompacted):
-			loaded = false
+			w.loaded = false
 		case errors.Is(err, context.Canceled):
-		case loaded && errors.Is(err, context.DeadlineExceeded):
-			// Only this connection may be silent, and the watch has taken long enough.
-			d.noteStoreState(false, err)
 		default:
 			d.noteStoreState(false, err)
-			d.sleep(jitter(storeRetryDelay))
+			w.probeAt = d.Clock.Now() + jitter(storeProbeInterval)
+			// After a timeout only the connection may be silent, and the call has taken long enough.
+			if timedOut := w.loaded && errors.Is(err, context.DeadlineExceeded); !timedOut && wait != storeProbeWait {
+				d.sleep(jitter(storeRetryDelay))
+			}
 		}
 	}
 }
 
+// followRelay waits for changes at the relay of this daemon. It returns false and how long to watch the store instead if there is none,
+// or if it is time to probe the store.
+func (d *Daemon) followRelay(w *watchState) (wait daisygap.Millis, followed bool) {
+	relay, displaced := d.chooseRelay()
+	w.source = d.noteSource(w.source, relay)
+	if relay.Peer == nil {
+		return watchTimeout, false
+	}
+	poll := relayWait
+	if displaced {
+		poll = min(poll, w.probeAt-d.Clock.Now())
+	}
+	if poll <= 0 {
+		return storeProbeWait, false
+	}
+	// A relay's updates lead on from any revision, so the next watch can as well.
+	w.loaded = d.watchRelay(relay, poll) || w.loaded
+	return 0, true
+}
+
 // noteSource logs a change of the source of this daemon's updates, which is a relay or, if its heartbeat is empty, the store. It returns
 // the source in the form that log lines use.
 func (d *Daemon) noteSource(last string, relay daisygap.GossipHeartbeat) string {
@@ -108,10 +136,11 @@
 	return nil
 }
 
-func (d *Daemon) watchStore() error {
+// watchStore waits up to the given time for changes in the store and applies them.
+func (d *Daemon) watchStore(wait daisygap.Millis) error {
 	ctx, cancel := d.watchContext()
 	defer cancel()
-	b, err := d.Store.Watch(ctx, "", d.revision(), watchTimeout)
+	b, err := d.Store.Watch(ctx, "", d.revision(), wait)
 	if err != nil {
 		return err
 	}
