steer: one daemon keeps a connection open to each server

Cause: the end of a process was known by requests that were refused and by connections that happened to be open. These servers had neither: with the end of each connection logged, none to them ended at the crash, and no request fell into the 0.3 to 0.7 s until the new process started under the same ID. Its entry came 0.7 s later, since the store was slow.

Change: the daemon that comes first for a cold server keeps an idle connection to it. When that ends it connects again. A refusal ends the process for all daemons, as a refused request does, and an accepted connection leads to a status check, at most one a second.

Measured: the new cases of TestServerRestartedUnderOldIDIsNotFlooded failed without the change (314 and 409 requests in a second, 24 allowed) and pass. TestGuardsOfServerThatEndsConnectionsAreSlow bounds the storm at a server that ends each connection at once. steer, placement and adapter/upstream pass under the race detector.

--- a/internal/adapter/upstream/client.go
+++ b/internal/adapter/upstream/client.go
@@ -122,6 +122,21 @@
 	return conn.Close()
 }
 
+// Watch opens a connection to an address, calls opened, and waits until the other side ends the connection or sends something, which
+// returns nil, or until the context ends.
+func (c *Client) Watch(ctx context.Context, address string, opened func()) error {
+	conn, err := c.transport.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return daisygap.WrapError("watch", address, err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer func() { _ = conn.Close() }()
+	opened()
+	_, _ = conn.Read(make([]byte, 1))
+	return ctx.Err()
+}
+
 // preventReplay prevents net/http from sending a request again after the other side closed a reused connection. The package
 // does so by itself for idempotent methods and for every request with an idempotency key, if the request has no body or one
 // that can be rewound.
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -88,7 +88,7 @@
 	d.startedAt = d.Clock.Now()
 	d.updateDaemonNames()
 	d.Log.Event("start", daisygap.Fields{"host": s.Host, "domain": s.Domain, "region": s.Region, "run": d.membership.roster.Self.Peer.Incarnation})
-	for _, loop := range []func(){d.runWatch, d.runCatchUp, d.runRegister, d.runGossip, d.runLapseExpiry, d.runPoolTicks, d.runHints, d.runRenewals, d.runNewsPush} {
+	for _, loop := range []func(){d.runWatch, d.runCatchUp, d.runRegister, d.runGossip, d.runLapseExpiry, d.runPoolTicks, d.runHints, d.runRenewals, d.runNewsPush, d.runGuards} {
 		d.loops.Go(loop)
 	}
 }
--- a/internal/daemon/steer/restart_test.go
+++ b/internal/daemon/steer/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -85,13 +86,17 @@
 		down time.Duration
 		// entryDelay is the time after which the new process registers in the store.
 		entryDelay time.Duration
+		// unconnected closes all connections of the daemons before the process ends.
+		unconnected bool
 	}{
-		{"all daemons busy", 8, 1_200 * time.Millisecond, 700 * time.Millisecond},
-		{"one daemon busy", 1, 1_200 * time.Millisecond, 700 * time.Millisecond},
-		{"short", 8, 300 * time.Millisecond, 700 * time.Millisecond},
-		{"at once, store late", 8, 0, 2 * time.Second},
-		{"at once between requests, store late", 0, 0, 2 * time.Second},
-		{"long, store late", 8, 4 * time.Second, 3 * time.Second},
+		{"all daemons busy", 8, 1_200 * time.Millisecond, 700 * time.Millisecond, false},
+		{"one daemon busy", 1, 1_200 * time.Millisecond, 700 * time.Millisecond, false},
+		{"short", 8, 300 * time.Millisecond, 700 * time.Millisecond, false},
+		{"at once, store late", 8, 0, 2 * time.Second, false},
+		{"at once between requests, store late", 0, 0, 2 * time.Second, false},
+		{"long, store late", 8, 4 * time.Second, 3 * time.Second, false},
+		{"short without connections, store late", 0, 300 * time.Millisecond, 2 * time.Second, true},
+		{"at once without connections, store late", 0, 0, 2 * time.Second, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			ts := start(t, "n-1", "n-2", "n-1", "n-2", "n-1", "n-2", "n-1", "n-2")
@@ -101,6 +106,11 @@
 			old := ts.busiestServer()
 			hot.setIdle(tt.busy, true)
 			time.Sleep(50 * time.Millisecond)
+			if tt.unconnected {
+				for _, d := range ts.daemons {
+					d.Listeners.Daemon.Upstream.Close()
+				}
+			}
 			old.Close()
 			time.Sleep(tt.down)
 			var arrivals arrivalTimes
@@ -195,3 +205,33 @@
 	}
 	return n
 }
+
+// TestGuardsOfServerThatEndsConnectionsAreSlow guards against a storm of connections and status checks at a server that ends each connection
+// at once.
+func TestGuardsOfServerThatEndsConnectionsAreSlow(t *testing.T) {
+	ts := start(t, "n-1", "n-2", "s-1")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ts.must(err)
+	defer func() { _ = l.Close() }()
+	var accepted atomic.Int64
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			_ = conn.Close()
+		}
+	}()
+	ts.must(ts.Put("servers/closing", []byte(fmt.Sprintf(
+		`{"service":"stock","address":%q,"zone":"n-1","version":"v1","slots":6,"state":"ready","cold_remaining":"0ms","sequence":1,"born":1}`, l.Addr(),
+	))))
+	ts.await("a guard", func() bool { return accepted.Load() > 0 })
+	before := accepted.Load()
+	time.Sleep(4 * time.Second)
+	// One guard connection and one status check each second.
+	if n := accepted.Load() - before; n > 10 {
+		t.Errorf("%d connections in 4 s, want at most 10", n)
+	}
+}
--- a/internal/policy/placement/restart.go
+++ b/internal/policy/placement/restart.go
@@ -151,6 +151,45 @@
 	return true
 }
 
+// GuardedAddresses returns the addresses of the upstreams for which this daemon comes first. It watches whether their processes end.
+func (f *Fleet) GuardedAddresses() []string {
+	var list []string
+	for _, p := range f.Pools() {
+		p.mu.Lock()
+		for _, u := range p.upstreams {
+			if f.coldRankOf(u) == 0 && !u.leaving {
+				list = append(list, u.Address)
+			}
+		}
+		p.mu.Unlock()
+	}
+	return list
+}
+
+// ProcessAt returns the process that is registered at an address.
+func (f *Fleet) ProcessAt(address string) (daisygap.Process, bool) {
+	known := f.byAddress.Load()
+	if known == nil || (*known)[address] == nil {
+		return daisygap.Process{}, false
+	}
+	u := (*known)[address]
+	return daisygap.Process{ID: u.ID, StartTime: u.StartTime}, true
+}
+
+// Recheck starts a status check of the upstream at an address, which may have ended and started again.
+func (f *Fleet) Recheck(address string, now daisygap.Millis) {
+	known := f.byAddress.Load()
+	if known == nil || (*known)[address] == nil {
+		return
+	}
+	u := (*known)[address]
+	if p := f.Pool(u.Pool); p != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.startCheck(u, now)
+	}
+}
+
 // findByShortID returns the upstream with an ID of gossip messages, and its pool, or nil.
 func (f *Fleet) findByShortID(id uint32) (*Upstream, *Pool) {
 	known := f.byShortID.Load()
