steer: daemons that start guard servers only once they know each other

A daemon that starts comes first for every server until it knows the other daemons, so all daemons of a fleet that starts together would have opened a connection to every server. Guards now begin 5 s after the daemon's start.

--- a/internal/daemon/steer/guard.go
+++ b/internal/daemon/steer/guard.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	// guardStartDelay is the time after which a daemon that starts knows the others. Until then it would guard their upstreams as well.
+	guardStartDelay = daisygap.Millis(5_000)
 	// guardUpdateInterval is the time between two updates of the set of upstreams that this daemon guards.
 	guardUpdateInterval = daisygap.Millis(1_000)
 	// guardRetryInterval is the mean time between two attempts to connect to an upstream that has ended.
@@ -24,6 +26,9 @@
 // runGuards keeps an idle connection open to each upstream that this daemon guards. Its end shows that the upstream may have ended, also
 // when no daemon has another connection there or sends anything.
 func (d *Daemon) runGuards() {
+	if !d.sleep(guardStartDelay) {
+		return
+	}
 	guards := make(map[string]context.CancelFunc)
 	for d.sleep(guardUpdateInterval) {
 		wanted := make(map[string]bool)
