steer: the test of bytes without end measures its own heap

Cause: the measure is the heap of the whole process, and garbage of earlier tests that was not collected yet counts.

The test now collects garbage before it begins. The bound stands.

--- a/internal/daemon/steer/endless_test.go
+++ b/internal/daemon/steer/endless_test.go
@@ -71,6 +71,8 @@
 // TestEndlessBytesUseBoundedMemory has 200 requests at once answered by bytes without end, while another server's requests go on.
 func TestEndlessBytesUseBoundedMemory(t *testing.T) {
 	const count = 200
+	// Earlier tests may have left garbage.
+	runtime.GC()
 	ts := start(t)
 	for _, s := range ts.servers {
 		s.Slots = count
