standin/port: the search for a free port isn't inherited by started processes

Cause: Free listens on a port to see that it is free, and closes the listener. A process that another goroutine starts at that moment inherits it between fork and exec, and holds the port until it has executed its program.

Free now holds syscall.ForkLock, as package os does for descriptors.

--- a/internal/standin/instance/server.go
+++ b/internal/standin/instance/server.go
@@ -82,7 +82,7 @@
 			return err
 		}
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := port.Listen(address)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/port/port.go
+++ b/internal/standin/port/port.go
@@ -1,11 +1,14 @@
 package port
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
+	"syscall"
+	"time"
 )
 
 // The ports are below the kernel's ephemeral port range, so that no outgoing connection occupies one while its owner is
@@ -29,6 +32,9 @@
 	defer mu.Unlock()
 	var err error
 	ip := processIP()
+	// A process that is being started would inherit the listener and keep the port until it runs.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for range maxTries {
 		n := firstPort + rand.IntN(lastPort-firstPort)
 		if allocated[n] {
@@ -44,6 +50,26 @@
 	return "", fmt.Errorf("no free port from %d to %d: %w", firstPort, lastPort, err)
 }
 
+// listenTries is the number of attempts of Listen, and listenPause the time between two of them.
+const (
+	listenTries = 200
+	listenPause = 10 * time.Millisecond
+)
+
+// Listen listens on an address that this process listened on before. It waits until processes that were being started when the former
+// listener was closed no longer hold it.
+func Listen(address string) (net.Listener, error) {
+	var l net.Listener
+	var err error
+	for range listenTries {
+		if l, err = net.Listen("tcp", address); !errors.Is(err, syscall.EADDRINUSE) {
+			break
+		}
+		time.Sleep(listenPause)
+	}
+	return l, err
+}
+
 // processIP returns a loopback IP address derived from the process ID, so that ports stay free while their owner is down.
 func processIP() string {
 	id := os.Getpid()
--- a/internal/standin/port/port_test.go
+++ b/internal/standin/port/port_test.go
@@ -1,10 +1,13 @@
 package port
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"strings"
+	"sync"
 	"testing"
 )
 
@@ -51,3 +54,34 @@
 		t.Errorf("%d distinct addresses, %d of them given to both processes; want %d and 0", len(owner), both, 2*count)
 	}
 }
+
+// TestAddressIsFreeWhileProcessesStart guards against a probe of a port that a process which is just being started inherits, so that nobody
+// else can listen there until it runs.
+func TestAddressIsFreeWhileProcessesStart(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	for range 8 {
+		group.Go(func() {
+			for ctx.Err() == nil {
+				_ = exec.Command("true").Run()
+			}
+		})
+	}
+	for range 1_000 {
+		address, err := Free()
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = l.Close()
+		if l, err = Listen(address); err != nil {
+			t.Fatal(err)
+		}
+		_ = l.Close()
+	}
+}
--- a/internal/standin/upstream/server.go
+++ b/internal/standin/upstream/server.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/standin/port"
 )
 
 // LostPath is the path of requests whose responses are lost: the server runs them and closes the connection.
@@ -77,7 +77,7 @@
 }
 
 func (s *Server) listen(address string) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := port.Listen(address)
 	if err != nil {
 		return daisygap.WrapError("listen", address, err)
 	}
