--- a/internal/adapter/forward/target_test.go
+++ b/internal/adapter/forward/target_test.go
@@ -52,8 +52,7 @@
 	"http://user@a.example/a", "http:/a", "/http://a/b",
 }
 
-// TestTargetsAreForwardedUnchanged guards against a path whose meaning changes on the way, so that a route is chosen by other bytes
-// than the upstream gets.
+// TestTargetsAreForwardedUnchanged guards against a route that is chosen by other bytes of the path than the upstream gets.
 func TestTargetsAreForwardedUnchanged(t *testing.T) {
 	var got strings.Builder
 	for _, target := range targets {
--- a/internal/policy/mirror/mirror_test.go
+++ b/internal/policy/mirror/mirror_test.go
@@ -60,14 +60,7 @@
 		var history []daisygap.StoreEntry
 		copies := make([]Mirror, 4)
 		for revision := daisygap.StoreRevision(1); revision <= 200; revision++ {
-			e := put(fmt.Sprint("k", r.IntN(12)), revision)
-			if _, known := store[e.Key]; known && r.IntN(3) == 0 {
-				e = deleted(e.Key, revision)
-				delete(store, e.Key)
-			} else {
-				store[e.Key] = e
-			}
-			history = append(history, e)
+			history = append(history, changeRandomly(r, store, revision))
 			m := &copies[r.IntN(len(copies))]
 			switch r.IntN(3) {
 			case 0:
@@ -89,6 +82,17 @@
 	}
 }
 
+// changeRandomly writes or deletes one of twelve keys, and returns the change.
+func changeRandomly(r *rand.Rand, store map[string]daisygap.StoreEntry, revision daisygap.StoreRevision) daisygap.StoreEntry {
+	e := put(fmt.Sprint("k", r.IntN(12)), revision)
+	if _, known := store[e.Key]; known && r.IntN(3) == 0 {
+		delete(store, e.Key)
+		return deleted(e.Key, revision)
+	}
+	store[e.Key] = e
+	return e
+}
+
 // TestCopiesConvergeAfterRestores is like TestCopiesConverge with a store that comes back from an older copy now and then and
 // assigns revisions again.
 func TestCopiesConvergeAfterRestores(t *testing.T) {
@@ -112,14 +116,7 @@
 				}
 			}
 			last++
-			e := put(fmt.Sprint("k", r.IntN(12)), now())
-			if _, known := store[e.Key]; known && r.IntN(3) == 0 {
-				e = deleted(e.Key, now())
-				delete(store, e.Key)
-			} else {
-				store[e.Key] = e
-			}
-			history = append(history, e)
+			history = append(history, changeRandomly(r, store, now()))
 			m := &copies[r.IntN(len(copies))]
 			switch r.IntN(3) {
 			case 0:
--- a/internal/policy/placement/rate_test.go
+++ b/internal/policy/placement/rate_test.go
@@ -75,7 +75,7 @@
 	return m
 }
 
-// restart starts a daemon, which knows nothing of the rate.
+// restart starts a daemon without any report of the rate.
 func (m *rateModel) restart(i int, now daisygap.Millis) {
 	h := m.hosts[i]
 	f := &Fleet{Name: fmt.Sprint("host-", i), Region: "r", Domain: "d", Regions: map[string]string{"d": "r"}}
--- a/internal/policy/poison/simulation_test.go
+++ b/internal/policy/poison/simulation_test.go
@@ -124,7 +124,7 @@
 	return m
 }
 
-// restart replaces a daemon by one that knows nothing and asks another one for all reports before it serves.
+// restart replaces a daemon by one without any reports, which asks another one for all reports before it serves.
 func (m *model) restart(i int) {
 	d := m.daemons[i]
 	d.generation++
