--- a/internal/daemon/steer/attempt.go
+++ b/internal/daemon/steer/attempt.go
@@ -153,7 +153,11 @@
 	if _, named := out.Header["User-Agent"]; !named {
 		out.Header["User-Agent"] = []string{""}
 	}
-	e.d.Protocol.WriteAttemptHead(out.Header, daisygap.AttemptHead{Instance: c.Upstream.ID, TimeLeft: e.deadline - e.d.Clock.Now()})
+	head := daisygap.AttemptHead{Instance: c.Upstream.ID, TimeLeft: e.deadline - e.d.Clock.Now(), NeedsKeys: e.snapshot.config.NeedsKeys}
+	if e.customer != nil {
+		head.Customer = e.customer.Name
+	}
+	e.d.Protocol.WriteAttemptHead(out.Header, head)
 	switch {
 	case e.bodyRest != nil:
 		out.Body, out.ContentLength = io.NopCloser(io.MultiReader(bytes.NewReader(e.body), e.bodyRest)), e.in.ContentLength
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -10,6 +10,7 @@
 
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/adapter/upstream"
+	"github.com/daisygap/daisygap/internal/policy/customer"
 	"github.com/daisygap/daisygap/internal/policy/placement"
 	"github.com/daisygap/daisygap/internal/policy/quota"
 	"github.com/daisygap/daisygap/internal/policy/route"
@@ -54,9 +55,10 @@
 
 // snapshot is the immutable configuration that the request path reads.
 type snapshot struct {
-	config   *daisygap.SteeringConfig
-	table    *route.Table
-	revision daisygap.StoreRevision
+	config    *daisygap.SteeringConfig
+	table     *route.Table
+	customers *customer.Table
+	revision  daisygap.StoreRevision
 }
 
 // Run starts the control loops, which end when the context does.
--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -32,9 +32,10 @@
 	head     daisygap.RequestHead
 	target   forward.Target
 	snapshot *snapshot
-	// route and pool are set by matchRoute.
-	route *daisygap.Route
-	pool  string
+	// route, customer and pool are set by matchRoute. The route is that of the customer, which is nil if the request belongs to none.
+	route    *daisygap.Route
+	customer *daisygap.Customer
+	pool     string
 
 	ctx         context.Context
 	started     daisygap.Millis
@@ -150,6 +151,9 @@
 		e.refuse(http.StatusNotFound, daisygap.ReasonUnknownKind, placement.Choice{})
 		return false
 	}
+	if e.snapshot.config.NeedsKeys && !e.matchCustomer() {
+		return false
+	}
 	if limit := e.snapshot.config.Limits.HeaderBytes; limit > 0 && headerSize(e.in) > limit {
 		e.refuse(http.StatusRequestHeaderFieldsTooLarge, daisygap.ReasonTooLarge, placement.Choice{})
 		return false
@@ -168,6 +172,26 @@
 	return true
 }
 
+// matchCustomer sets the request's customer and applies the customer's priority and regions to the route. It refuses a request without a
+// known key on a route that isn't public, or one that no region may serve, and returns false then.
+func (e *exchange) matchCustomer() bool {
+	e.customer = e.snapshot.customers.Find(e.head.Key)
+	if e.customer == nil && !e.route.Public {
+		e.refuse(http.StatusUnauthorized, daisygap.ReasonUnknownKey, placement.Choice{})
+		return false
+	}
+	route, allowed := e.snapshot.customers.Route(e.route, e.customer)
+	if !allowed {
+		e.refuse(http.StatusServiceUnavailable, daisygap.ReasonForbiddenRegion, placement.Choice{RetryAfter: forbiddenRetryAfter})
+		return false
+	}
+	e.route = route
+	return true
+}
+
+// forbiddenRetryAfter is the Retry-After for a request that no region may serve. Only a new configuration can change that.
+const forbiddenRetryAfter = daisygap.Millis(5_000)
+
 // headerSize returns the approximate size of a request's header in bytes.
 func headerSize(r *http.Request) int64 {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
--- a/internal/daemon/steer/replica.go
+++ b/internal/daemon/steer/replica.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/policy/customer"
 	"github.com/daisygap/daisygap/internal/policy/mirror"
 	"github.com/daisygap/daisygap/internal/policy/poison"
 	"github.com/daisygap/daisygap/internal/policy/route"
@@ -368,7 +369,9 @@
 	}
 	versionGauge.set(steering.Version)
 	d.splitter.Prune(steering.Routes)
-	d.snapshot.Store(&snapshot{config: steering, table: route.New(steering.Routes), revision: d.replica.mirror.Revision()})
+	d.snapshot.Store(&snapshot{
+		config: steering, table: route.New(steering.Routes), customers: customer.New(steering.Customers), revision: d.replica.mirror.Revision(),
+	})
 }
 
 // revision returns the store revision of the replica.
--- /dev/null
+++ b/internal/policy/customer/table.go
@@ -0,0 +1,80 @@
+package customer
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/daisygap/daisygap"
+)
+
+// Table holds the customers of one configuration version. It is safe for concurrent use.
+type Table struct {
+	byKey map[daisygap.CustomerKey]*daisygap.Customer
+	// routes caches the routes as they apply to customers.
+	routes sync.Map
+}
+
+// routeOf is the key of a cached route.
+type routeOf struct {
+	route    *daisygap.Route
+	customer *daisygap.Customer
+}
+
+// New returns a table of customers. Of several customers with the same key the first has it.
+func New(customers []daisygap.Customer) *Table {
+	t := &Table{byKey: make(map[daisygap.CustomerKey]*daisygap.Customer)}
+	for i := range customers {
+		for _, key := range customers[i].Keys {
+			if _, taken := t.byKey[key]; !taken && key != "" {
+				t.byKey[key] = &customers[i]
+			}
+		}
+	}
+	return t
+}
+
+// Find returns the customer with the given key, or nil.
+func (t *Table) Find(key daisygap.CustomerKey) *daisygap.Customer {
+	return t.byKey[key]
+}
+
+// Route returns a route as it applies to a customer: with the customer's priority, if it has one, and the regions that both allow. It
+// returns false if there is no such region.
+func (t *Table) Route(r *daisygap.Route, c *daisygap.Customer) (*daisygap.Route, bool) {
+	if c == nil || !c.HasPriority && len(c.AllowedRegions) == 0 {
+		return r, true
+	}
+	if cached, ok := t.routes.Load(routeOf{r, c}); ok {
+		route := cached.(*daisygap.Route)
+		return route, route != nil
+	}
+	own := *r
+	if c.HasPriority {
+		own.Priority = c.Priority
+	}
+	route := &own
+	if own.AllowedRegions = intersect(r.AllowedRegions, c.AllowedRegions); own.AllowedRegions != nil && len(own.AllowedRegions) == 0 {
+		route = nil
+	}
+	t.routes.Store(routeOf{r, c}, route)
+	return route, route != nil
+}
+
+// intersect returns the regions that both lists allow. An empty list allows all. The result is nil if both do.
+func intersect(a, b []string) []string {
+	switch {
+	case len(a) == 0 && len(b) == 0:
+		return nil
+	case len(a) == 0:
+		return b
+	case len(b) == 0:
+		return a
+	}
+	both := make([]string, 0, len(a))
+	for _, region := range a {
+		if slices.Contains(b, region) {
+			both = append(both, region)
+		}
+	}
+	return both
+}
--- a/protocol.go
+++ b/protocol.go
@@ -10,6 +10,8 @@
 	// Timeout is how long the caller waits. HasTimeout reports whether the request states it.
 	Timeout    Millis
 	HasTimeout bool
+	// Key is the customer's key, or "" if the request has no usable one.
+	Key CustomerKey
 }
 
 // AttemptHead is what a daemon adds to the headers of a request that it sends to an upstream.
@@ -17,6 +19,10 @@
 	// Instance is the ID of the only instance that may run the request.
 	Instance string
 	TimeLeft Millis
+	// NeedsKeys reports whether the configuration has customers, so that the caller's key must be removed. Customer is the name of the
+	// customer, or "" if the request belongs to none.
+	NeedsKeys bool
+	Customer  string
 }
 
 // LoadReport is an upstream's own count of its requests and slots.
--- a/refusal.go
+++ b/refusal.go
@@ -28,6 +28,9 @@
 	ReasonSlow            Reason = "slow"
 	ReasonStopping        Reason = "stopping"
 	ReasonMemoryFull      Reason = "memory_full"
+	ReasonUnknownKey      Reason = "unknown_key"
+	ReasonOverAllowance   Reason = "over_allowance"
+	ReasonForbiddenRegion Reason = "forbidden_region"
 )
 
 // RunState states whether a refused request may have been run by an upstream.
--- a/steering.go
+++ b/steering.go
@@ -6,6 +6,47 @@
 	Routes  []Route
 	Pools   map[string]PoolLimits
 	Limits  RequestLimits
+	// NeedsKeys reports whether requests on routes that aren't public need the key of one of Customers.
+	NeedsKeys bool
+	Customers []Customer
+	// Dropped lists the rows that could not be used. The rest of the configuration takes effect without them.
+	Dropped []DroppedRow
+}
+
+// CustomerKey is the secret by which the requests of a customer are recognized. It formats as "[redacted]", so that it never appears in
+// logs, errors or messages.
+type CustomerKey string
+
+// String returns a fixed text instead of the key.
+func (CustomerKey) String() string { return "[redacted]" }
+
+// GoString returns a fixed text instead of the key.
+func (CustomerKey) GoString() string { return "[redacted]" }
+
+// MarshalText returns a fixed text instead of the key.
+func (CustomerKey) MarshalText() ([]byte, error) { return []byte("[redacted]"), nil }
+
+// Customer is an organization whose requests are recognized by its keys.
+type Customer struct {
+	Name string
+	Keys []CustomerKey
+	// Priority goes before the priority of the route if HasPriority is set.
+	Priority    int
+	HasPriority bool
+	// Rate is the number of requests per second that all daemons together may accept, and Burst the number beyond that at once. A
+	// customer whose Rate is 0 has no limit.
+	Rate  float64
+	Burst float64
+	// AllowedRegions lists the regions that may serve the customer's requests. An empty list allows all.
+	AllowedRegions []string
+}
+
+// DroppedRow is a row of the configuration that could not be used.
+type DroppedRow struct {
+	// Table is "routes", "services" or "customers", and Name the row's name if it has a readable one.
+	Table  string
+	Name   string
+	Reason string
 }
 
 // Route defines how the requests for a host and path prefix are served.
@@ -15,8 +56,11 @@
 	Prefix string
 	// Idempotent reports whether a request may be executed more than once.
 	Idempotent bool
-	// LargeResponses reports whether responses are large.
+	// LargeResponses and LargeRequests report whether the bodies of responses and requests are large.
 	LargeResponses bool
+	LargeRequests  bool
+	// Public reports whether requests need no customer's key.
+	Public bool
 	// Timeout is the longest time that a caller waits for a response.
 	Timeout Millis
 	// TargetLatency is the latency within which a response has its full value for the caller.
