placement: large pools serve objects in the region of their callers

A daemon of a large fleet kept no object in its region after a start and learned too slowly that it could: two thirds of the requests crossed regions. In pools of 40 upstreams or more, a region now keeps as many objects as it has slots for from the start, the routes with the tightest targets first, and its domains get owners of their own while slots are free.

--- a/internal/daemon/steer/gossip.go
+++ b/internal/daemon/steer/gossip.go
@@ -22,6 +22,10 @@
 	// smallFleet is the number of other live daemons up to which all contacts are drawn from all regions, so that news cross
 	// regions as fast as within one. A message holds the heartbeats of so many.
 	smallFleet = 32
+	// largeDomain is the number of other live daemons of a domain from which on most contacts are in the domain, and crossDomainOdds the
+	// inverse of the fraction of the contacts in the region that are drawn from all its domains then.
+	largeDomain     = 16
+	crossDomainOdds = 4
 	// contactPeriod is the time after its start in which a daemon gets in contact with the others.
 	contactPeriod = daisygap.Millis(2_000)
 )
@@ -135,12 +139,16 @@
 	defer d.membership.mu.Unlock()
 	now := d.Clock.Now()
 	self := d.membership.roster.Self.Peer
-	var near, far, others []string
+	var contacts contacts
+	var others []string
 	for _, p := range d.membership.roster.Alive(now) {
-		if p.Peer.Region == self.Region {
-			near = append(near, p.Peer.Address)
-		} else {
-			far = append(far, p.Peer.Address)
+		switch {
+		case p.Peer.Domain == self.Domain:
+			contacts.domain = append(contacts.domain, p.Peer.Address)
+		case p.Peer.Region == self.Region:
+			contacts.region = append(contacts.region, p.Peer.Address)
+		default:
+			contacts.far = append(contacts.far, p.Peer.Address)
 		}
 	}
 	for _, p := range d.membership.roster.Known() {
@@ -151,9 +159,9 @@
 	}
 	others = append(others, d.Settings.Peers...)
 	others = slices.DeleteFunc(others, func(a string) bool {
-		return a == self.Address || slices.Contains(near, a) || slices.Contains(far, a)
+		return a == self.Address || slices.Contains(contacts.domain, a) || slices.Contains(contacts.region, a) || slices.Contains(contacts.far, a)
 	})
-	list := drawNear(near, far, count)
+	list := contacts.draw(count)
 	if len(others) > 0 && (len(list) < count || rand.IntN(4) == 0) {
 		list = append(list, others[rand.IntN(len(others))])
 	}
@@ -165,20 +173,30 @@
 	return list
 }
 
-// drawNear draws up to count addresses. In a large fleet, each is drawn from all regions with a probability of 1/crossRegionOdds
-// and otherwise from the own region.
-func drawNear(near, far []string, count int) []string {
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+// contacts holds the addresses of live daemons of the own domain, of other domains of the region, and of other regions.
+type contacts struct {
+	domain, region, far []string
+}
+
+// draw removes and returns up to count addresses. In a large fleet, each is drawn from all regions with a probability of 1/crossRegionOdds, and
+// otherwise from the own region. If the domain has many daemons, most of these are drawn from the domain, which spreads news at a fraction
+// of the traffic between domains.
+func (c *contacts) draw(count int) []string {
 	var list []string
-	small := len(near)+len(far) <= smallFleet
-	for len(list) < count && len(near)+len(far) > 0 {
-		cross := (small || rand.IntN(crossRegionOdds) == 0) && rand.IntN(len(near)+len(far)) >= len(near)
-		if len(far) > 0 && (cross || len(near) == 0) {
-			list, far = append(list, far[0]), far[1:]
-		} else {
-			list, near = append(list, near[0]), near[1:]
+	small := len(c.domain)+len(c.region)+len(c.far) <= smallFleet
+	for len(list) < count && len(c.domain)+len(c.region)+len(c.far) > 0 {
+		near := len(c.domain) + len(c.region)
+		cross := (small || rand.IntN(crossRegionOdds) == 0) && rand.IntN(near+len(c.far)) >= near
+		from := &c.region
+		switch {
+		case len(c.far) > 0 && (cross || near == 0):
+			from = &c.far
+		case len(c.domain) > 0 && (len(c.region) == 0 || len(c.domain) >= largeDomain && rand.IntN(crossDomainOdds) != 0 || rand.IntN(near) < len(c.domain)):
+			from = &c.domain
 		}
+		i := rand.IntN(len(*from))
+		list = append(list, (*from)[i])
+		*from = slices.Delete(*from, i, i+1)
 	}
 	return list
 }
--- a/internal/policy/placement/hint.go
+++ b/internal/policy/placement/hint.go
@@ -57,7 +57,7 @@
 // applyHint starts a new pool from a hint. Values that can't be right are ignored.
 func (p *Pool) applyHint(h daisygap.PoolHint) {
 	if isShare(h.LocalShare) && isShare(h.LargeLocalShare) {
-		p.localShare, p.largeLocalShare = h.LocalShare, h.LargeLocalShare
+		p.localShare, p.largeLocalShare, p.hinted = h.LocalShare, h.LargeLocalShare, true
 	}
 	for route, ms := range h.HitTimes {
 		p.serviceTimesOf(route).hit.start(ms)
--- a/internal/policy/placement/locality.go
+++ b/internal/policy/placement/locality.go
@@ -33,14 +33,24 @@
 func (p *Pool) Tick(now daisygap.Millis) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.objects.rotate(now)
+	if p.objects.rotate(now) {
+		p.updateHoming()
+	}
 	local, remote, both := p.updateUtilization(now)
+	if both && p.homing.active {
+		p.adjustLocalShare(local, remote)
+		p.adjustDomainShare(local)
+		p.updateRouteShares()
+	}
 	switch {
 	case !both:
 	case local > busyUtilization && remote < local:
-		p.localShare, p.largeLocalShare = max(0, p.localShare-localShareStep), max(0, p.largeLocalShare-largeLocalShareStep)
+		if !p.homing.active {
+			p.localShare = max(0, p.localShare-localShareStep)
+		}
+		p.largeLocalShare = max(0, p.largeLocalShare-largeLocalShareStep)
 	case local < idleUtilization || remote > local:
-		if p.isFarFromOthers() || p.hasFewObjects() {
+		if !p.homing.active && (p.isFarFromOthers() || p.hasFewObjects()) {
 			p.localShare = min(1, p.localShare+localShareStep)
 		}
 		p.largeLocalShare = min(1, p.largeLocalShare+localShareStep)
--- a/internal/policy/placement/objects.go
+++ b/internal/policy/placement/objects.go
@@ -34,11 +34,13 @@
 	}
 }
 
-// rotate starts a new period when the current one is over.
-func (c *objectCounter) rotate(now daisygap.Millis) {
-	if now-c.started >= objectPeriod {
-		c.previous, c.current, c.started = c.current, objectPeriodCount{}, now
+// rotate starts a new period when the current one is over, and reports whether it did.
+func (c *objectCounter) rotate(now daisygap.Millis) bool {
+	if now-c.started < objectPeriod {
+		return false
 	}
+	c.previous, c.current, c.started = c.current, objectPeriodCount{}, now
+	return true
 }
 
 // repeated returns the number of distinct objects in the period that has more of them, or 0 if they are rarely requested again.
--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -135,6 +135,9 @@
 	// routes with large responses.
 	localShare      float64
 	largeLocalShare float64
+	// hinted is set if localShare comes from a hint.
+	hinted bool
+	homing homing
 	// objects counts the objects that were requested lately.
 	objects objectCounter
 	// utilization is the fraction of each region's slots in use at the last tick.
@@ -190,6 +193,7 @@
 		u.regionIndex = slices.Index(p.regions, u.Region)
 	}
 	p.buffers.best, p.buffers.unlimited = make([]*Upstream, len(p.regions)), make([]*Upstream, len(p.regions))
+	p.updateHoming()
 }
 
 // choiceOrder lists the ways to choose an upstream, in the order of preference.
--- a/internal/policy/placement/search.go
+++ b/internal/policy/placement/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/daisygap/daisygap"
 )
@@ -32,7 +33,11 @@
 	*s = search{p: p, q: q, now: now, eligible: eligible}
 	t := p.serviceTimesOf(q.Route.Name)
 	t.target = float64(q.Route.TargetLatency)
+	t.requests++
 	s.hitTime, s.missTime = t.hit.median, t.miss.median
+	if p.homing.active {
+		s.hitTime = t.hit.low
+	}
 	if s.hitTime == 0 {
 		s.hitTime = float64(q.Route.TargetLatency) / 2
 	}
@@ -62,16 +67,19 @@
 }
 
 // findOwners returns the object's owner of each region, the home region's first. For large responses in this daemon's own
-// region, the owner within its failure domain comes before that, so that they stay in the domain.
+// region, and for objects that are owned by domain, the owner within its failure domain comes before that, so that they
+// stay in the domain.
 func (s *search) findOwners() []*Upstream {
 	best := s.bestByRegion()
 	list := s.p.buffers.owners[:0]
 	for _, u := range best {
 		if u != nil && u.Region == s.homeRegion {
-			if s.q.Route.LargeResponses && s.homeRegion == s.p.Region {
+			if s.homeRegion == s.p.Region && (s.q.Route.LargeResponses || s.p.isOwnedByDomain(s.q.ObjectHash)) {
 				list = s.appendDomainOwner(list)
 			}
-			list = append(list, u)
+			if !slices.Contains(list, u) {
+				list = append(list, u)
+			}
 		}
 	}
 	for _, u := range best {
@@ -298,10 +306,7 @@
 	for _, u := range eligible {
 		slots[u.regionIndex] += float64(u.Slots)
 	}
-	share := p.localShare
-	if q.Route.LargeResponses {
-		share = p.largeLocalShare
-	}
+	share := p.localShareOf(q.Route)
 	home, best := "", -1.0
 	stays := toUnitInterval(mixBits(q.ObjectHash)) < share
 	for i, region := range p.regions {
--- a/internal/policy/placement/times.go
+++ b/internal/policy/placement/times.go
@@ -9,13 +9,18 @@
 // recentTimesSize is the number of service times that a median is taken of. It is odd, so that the median is one of them.
 const recentTimesSize = 15
 
+// lowRatio is the fraction of the requests at owners that stay below the time of one for an object that the owner has served lately, while many
+// objects are new to their owners.
+const lowRatio = 0.3
+
 // recentTimes holds the latest service times of a kind of request. Their median stays near the usual time while some requests
 // take many times as long, which a mean doesn't.
 type recentTimes struct {
 	ring  [recentTimesSize]float64
 	count int
-	// median is the median in ms, or 0 before the first time.
+	// median is the median in ms, or 0 before the first time, and low the time that lowRatio of them stay below.
 	median float64
+	low    float64
 }
 
 // record adds a service time. With onlyDown, times that are not below the median are ignored.
@@ -28,7 +33,7 @@
 	sorted := r.ring
 	known := sorted[:min(r.count, recentTimesSize)]
 	slices.Sort(known)
-	r.median = known[len(known)/2]
+	r.median, r.low = known[len(known)/2], known[int(lowRatio*float64(len(known)))]
 }
 
 // start sets the service time that is assumed before the first requests.
@@ -46,8 +51,9 @@
 	// hit is for requests at the object's owner, which has usually served the object lately, and miss for all others.
 	hit  recentTimes
 	miss recentTimes
-	// target is the route's target latency.
-	target float64
+	// target is the route's target latency, and requests the number of its requests since the last tick.
+	target   float64
+	requests int
 	// hedgeGain is the moving average of the fraction of second copies that were answered before the first copy, and
 	// hedgesSkipped the number of second copies in a row that were not sent because that fraction is low.
 	hedgeGain     float64
