--- a/internal/policy/placement/homing.go
+++ b/internal/policy/placement/homing.go
@@ -29,6 +29,9 @@
 	// domainShareStep is the increase of the fraction of the objects that are owned by domain in one tick. The first request for an object at
 	// a new owner takes several times as long.
 	domainShareStep = 0.04
+	// initialHeadroom is the fraction of a region's part of the work that stays at the start. The rest allows for demand that moves between
+	// regions, and for objects whose first requests are slow.
+	initialHeadroom = 0.8
 	// workWeight is the weight of one tick in the moving average of a route's work.
 	workWeight = 0.2
 	// minEstimateRequests is the number of requests from which on the number of objects is estimated.
@@ -101,7 +104,7 @@
 }
 
 // initialLocalShare returns the fraction of the objects that this region can serve without being busier than the others, if each region has
-// the same demand.
+// the same demand, with some headroom.
 func (p *Pool) initialLocalShare() float64 {
 	own, total := 0, 0
 	for _, u := range p.upstreams {
@@ -110,7 +113,7 @@
 			own += u.Slots
 		}
 	}
-	return min(1, float64(own)/float64(total)*float64(len(p.regions)))
+	return min(1, initialHeadroom*float64(own)/float64(total)*float64(len(p.regions)))
 }
 
 // adjustLocalShare moves objects out of this region while it is much busier than the others, and back while it has spare slots.
