platform: a configuration row that can't be decoded is dropped

One invalid value in one row made the whole configuration unreadable, so that a new column format stopped the routes beside it too.

--- a/steering.go
+++ b/steering.go
@@ -41,12 +41,34 @@
 	AllowedRegions []string
 }
 
+// The tables of a configuration, as DroppedRow and the metrics name them.
+const (
+	TableRoutes    = "routes"
+	TableServices  = "services"
+	TableCustomers = "customers"
+	TableLimits    = "limits"
+)
+
+// The names of the limits in DroppedRow.
+const (
+	LimitHeaderBytes   = "header_bytes"
+	LimitBodyBytes     = "body_bytes"
+	LimitHeaderTimeout = "header_timeout"
+	LimitIdleTimeout   = "idle_timeout"
+)
+
 // DroppedRow is a row of the configuration that could not be used.
 type DroppedRow struct {
-	// Table is "routes", "services" or "customers", and Name the row's name if it has a readable one.
-	Table  string
-	Name   string
+	// Table is TableRoutes, TableServices, TableCustomers or TableLimits, and Name the row's name if it has a readable one, or the name of
+	// the limit.
+	Table string
+	Name  string
+	// Whole reports whether no row of the table could be read.
+	Whole bool
+	// Reason says what is wrong with the row, without its values.
 	Reason string
+	// Kept reports whether the row of the previous version stays in force.
+	Kept bool
 }
 
 // Route defines how the requests for a host and path prefix are served.
