steer: configurations last over lost store entries and invalid rows

A store that was restored from an older copy, or whose configuration was deleted and written again, could bring a revoked key back: daemons compared a version only with the entry in their replica, and a daemon that started knew no other. The newest configuration now stays with its entry; heartbeats carry its version, a starting daemon whose configuration has customers asks up to four others and waits at most 1 s, and a daemon that hears of a newer version fetches it from there. Rows that can't be decoded are merged with the version in force, logged as "row dropped" and counted. A deleted configuration no longer keeps new upstreams from being used.

Log lines name the customer, refusals with unknown_key say whether a key was sent, and the requests and refusals of up to 20 customers are counted, all others as other. The simulators know customers and record the headers that reach a server.

--- a/gossip.go
+++ b/gossip.go
@@ -18,6 +18,8 @@
 	Revision StoreRevision `json:"r,omitempty"`
 	// StoreLost reports whether the daemon's last call of the store failed.
 	StoreLost bool `json:"d,omitempty"`
+	// ConfigVersion is the version of the daemon's configuration, or 0 if it has none.
+	ConfigVersion uint64 `json:"v,omitempty"`
 }
 
 // Process names one process of an upstream. A process that starts again under the same ID has another start time.
@@ -153,6 +155,8 @@
 	// FromStore asks for a response without a wait when the daemon can't reach the store, so that the caller can choose another
 	// one that does.
 	FromStore bool `json:"s,omitempty"`
+	// InForce asks only for the entry of the configuration that the daemon uses, which the store may have lost.
+	InForce bool `json:"f,omitempty"`
 }
 
 // SteeringPeers is the client side of the calls between steering daemons.
--- a/internal/command/operate/trace.go
+++ b/internal/command/operate/trace.go
@@ -170,7 +170,7 @@
 // isContext reports whether an event is about the state of the daemon or of one of the request's upstreams.
 func isContext(l logLine, upstreams map[string]bool) bool {
 	switch l.event {
-	case "start", "stop", "stopped", "reload", "configuration", "evacuation", "store lost", "store reached", "lease lapsed":
+	case "start", "stop", "stopped", "reload", "configuration", "row dropped", "shared key", "evacuation", "store lost", "store reached", "lease lapsed":
 		return true
 	case "upstream", "entry ended":
 		key, _ := l.fields["key"].(string)
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -51,6 +51,7 @@
 	registration registration
 	events       eventLimits
 	renewals     renewals
+	versions     versions
 }
 
 // snapshot is the immutable configuration that the request path reads.
@@ -90,7 +91,7 @@
 	d.startedAt = d.Clock.Now()
 	d.updateDaemonNames()
 	d.Log.Event("start", daisygap.Fields{"host": s.Host, "domain": s.Domain, "region": s.Region, "run": d.membership.roster.Self.Peer.Incarnation})
-	for _, loop := range []func(){d.runWatch, d.runCatchUp, d.runRegister, d.runGossip, d.runLapseExpiry, d.runPoolTicks, d.runHints, d.runRenewals, d.runNewsPush, d.runGuards} {
+	for _, loop := range []func(){d.runWatch, d.runCatchUp, d.runRegister, d.runGossip, d.runLapseExpiry, d.runPoolTicks, d.runHints, d.runRenewals, d.runNewsPush, d.runGuards, d.runVersions} {
 		d.loops.Go(loop)
 	}
 }
--- a/internal/daemon/steer/events.go
+++ b/internal/daemon/steer/events.go
@@ -85,12 +85,18 @@
 }
 
 func (e *exchange) logRefusal(status int, reason daisygap.Reason, run daisygap.RunState, c placement.Choice) {
+	if e.customer != nil {
+		customerUsage.AddRefusal(e.customer.Name)
+	}
 	e.d.event("refusal", string(reason), func() daisygap.Fields {
 		f := e.fields(nil)
 		f["status"], f["reason"], f["run"], f["verdict"] = status, reason, run, c.Verdict
 		if c.PassedOver > 0 {
 			f["passed_over"] = c.PassedOver
 		}
+		if reason == daisygap.ReasonUnknownKey {
+			f["key_sent"] = e.head.Key != ""
+		}
 		if reason == daisygap.ReasonPoisoned {
 			f["fingerprint"] = formatFingerprint(e.fingerprint)
 		}
@@ -156,6 +162,9 @@
 	if e.route != nil {
 		f["route"], f["pool"], f["left_ms"] = e.route.Name, e.pool, e.deadline-e.d.Clock.Now()
 	}
+	if e.customer != nil {
+		f["customer"] = e.customer.Name
+	}
 	if a != nil {
 		if a.choice.PassedOver > 0 {
 			f["passed_over"] = a.choice.PassedOver
--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -172,26 +172,6 @@
 	return true
 }
 
-// matchCustomer sets the request's customer and applies the customer's priority and regions to the route. It refuses a request without a
-// known key on a route that isn't public, or one that no region may serve, and returns false then.
-func (e *exchange) matchCustomer() bool {
-	e.customer = e.snapshot.customers.Find(e.head.Key)
-	if e.customer == nil && !e.route.Public {
-		e.refuse(http.StatusUnauthorized, daisygap.ReasonUnknownKey, placement.Choice{})
-		return false
-	}
-	route, allowed := e.snapshot.customers.Route(e.route, e.customer)
-	if !allowed {
-		e.refuse(http.StatusServiceUnavailable, daisygap.ReasonForbiddenRegion, placement.Choice{RetryAfter: forbiddenRetryAfter})
-		return false
-	}
-	e.route = route
-	return true
-}
-
-// forbiddenRetryAfter is the Retry-After for a request that no region may serve. Only a new configuration can change that.
-const forbiddenRetryAfter = daisygap.Millis(5_000)
-
 // headerSize returns the approximate size of a request's header in bytes.
 func headerSize(r *http.Request) int64 {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
--- a/internal/daemon/steer/gossip.go
+++ b/internal/daemon/steer/gossip.go
@@ -96,6 +96,7 @@
 	self := &d.membership.roster.Self
 	self.Counter++
 	self.Ready, self.Leaving, self.Revision = d.Ready(), d.stopping.Load(), revision
+	self.ConfigVersion = d.configVersion()
 	return daisygap.Gossip{
 		Heartbeats: d.membership.roster.Sample(now), Crashes: crashes, Answers: answers,
 		Loads: d.fleet.RecentLoads(now), Rates: d.fleet.RecentRates(now), Restarts: d.fleet.RecentRestarts(now),
@@ -107,6 +108,7 @@
 	d.membership.mu.Lock()
 	changed := d.membership.roster.Merge(g.Heartbeats, now)
 	d.membership.mu.Unlock()
+	d.noteVersions(g.Heartbeats)
 	d.mergeCrashes(g)
 	d.fleet.MergeLoads(g.Loads, now)
 	d.mergeRates(g.Rates, "peer")
--- a/internal/daemon/steer/replica.go
+++ b/internal/daemon/steer/replica.go
@@ -48,6 +48,9 @@
 	mu      sync.Mutex
 	mirror  mirror.Mirror
 	decoded map[string]daisygap.DecodedEntry
+	// config is the newest configuration and configEntry its entry. They stay when the store loses them.
+	config      *daisygap.SteeringConfig
+	configEntry daisygap.StoreEntry
 	// newest holds, by upstream ID, the newest entry of the latest process.
 	newest map[string]daisygap.Instance
 	// lapsed holds the deleted keys whose entries stay in force, and until when.
@@ -155,7 +158,7 @@
 	}
 }
 
-// applyEntry decodes a changed entry. An entry that can't be decoded is dropped, except that an invalid configuration leaves
+// applyEntry decodes a changed entry. An entry that can't be decoded is dropped, except that an invalid or deleted configuration leaves
 // the previous one in force.
 func (d *Daemon) applyEntry(e daisygap.StoreEntry, source string) {
 	r := &d.replica
@@ -182,13 +185,10 @@
 		d.event("foreign entry", "foreign entry", func() daisygap.Fields {
 			return daisygap.Fields{"key": e.Key, "revision": e.Revision, "error": err.Error()}
 		})
-		if decoded.Steering == nil && r.decoded[e.Key].Steering != nil {
-			return
-		}
 		delete(r.decoded, e.Key)
 		return
 	}
-	if d.outdated(e.Key, decoded) {
+	if d.outdated(decoded) {
 		outdatedEntries.Inc()
 		d.event("outdated entry", "outdated entry", func() daisygap.Fields {
 			f := daisygap.Fields{"key": e.Key, "revision": e.Revision, "from": source}
@@ -201,6 +201,9 @@
 		})
 		return
 	}
+	if decoded.Steering != nil {
+		decoded.Steering = d.acceptConfiguration(e, decoded.Steering)
+	}
 	if decoded.Peer != nil {
 		d.addContact(*decoded.Peer)
 	}
@@ -249,9 +252,9 @@
 
 // outdated reports whether a configuration has a lower version than the one in force, or an upstream's entry is older than one already
 // seen, by process start time and then by sequence.
-func (d *Daemon) outdated(key string, decoded daisygap.DecodedEntry) bool {
+func (d *Daemon) outdated(decoded daisygap.DecodedEntry) bool {
 	if s := decoded.Steering; s != nil {
-		old := d.replica.decoded[key].Steering
+		old := d.replica.config
 		return old != nil && s.Version < old.Version
 	}
 	if decoded.Instance == nil {
@@ -344,13 +347,11 @@
 
 // rebuild puts the decoded entries in force; the caller holds the replica's lock.
 func (d *Daemon) rebuild(now daisygap.Millis) {
-	var steering *daisygap.SteeringConfig
+	steering := d.replica.config
 	var instances []daisygap.Instance
 	evacuated := make(map[string]bool)
 	for _, f := range d.replica.decoded {
 		switch {
-		case f.Steering != nil:
-			steering = f.Steering
 		case f.Instance != nil:
 			instances = append(instances, *f.Instance)
 		case f.Evacuated != "":
@@ -359,7 +360,7 @@
 			d.fleet.SetHint(*f.Hint)
 		}
 	}
-	if steering == nil {
+	if steering == nil || d.snapshot.Load() == nil && d.holdsBack(steering, now) {
 		return
 	}
 	d.fleet.Replace(steering.Pools, instances, evacuated, now)
@@ -369,9 +370,9 @@
 	}
 	versionGauge.set(steering.Version)
 	d.splitter.Prune(steering.Routes)
-	d.snapshot.Store(&snapshot{
-		config: steering, table: route.New(steering.Routes), customers: customer.New(steering.Customers), revision: d.replica.mirror.Revision(),
-	})
+	customers := customer.New(steering.Customers)
+	d.logSharedKeys(steering.Version, customers.SharedKeys())
+	d.snapshot.Store(&snapshot{config: steering, table: route.New(steering.Routes), customers: customers, revision: d.replica.mirror.Revision()})
 }
 
 // revision returns the store revision of the replica.
@@ -383,6 +384,9 @@
 
 // ServeMirror returns the replica's changes after a revision to another daemon, and waits up to the given time for the first.
 func (d *Daemon) ServeMirror(ctx context.Context, q daisygap.MirrorQuery) daisygap.StoreUpdate {
+	if q.InForce {
+		return d.entryInForce()
+	}
 	if q.Wait > 0 {
 		d.awaitRevision(ctx, q)
 	}
--- a/internal/policy/customer/table.go
+++ b/internal/policy/customer/table.go
@@ -12,6 +12,13 @@
 	byKey map[daisygap.CustomerKey]*daisygap.Customer
 	// routes caches the routes as they apply to customers.
 	routes sync.Map
+	shared []SharedKey
+}
+
+// SharedKey names two customers with the same key. Requests with it are those of Owner.
+type SharedKey struct {
+	Owner string
+	Other string
 }
 
 // routeOf is the key of a cached route.
@@ -25,14 +32,23 @@
 	t := &Table{byKey: make(map[daisygap.CustomerKey]*daisygap.Customer)}
 	for i := range customers {
 		for _, key := range customers[i].Keys {
-			if _, taken := t.byKey[key]; !taken && key != "" {
+			switch owner := t.byKey[key]; {
+			case key == "":
+			case owner == nil:
 				t.byKey[key] = &customers[i]
+			case owner != &customers[i]:
+				t.shared = append(t.shared, SharedKey{Owner: owner.Name, Other: customers[i].Name})
 			}
 		}
 	}
 	return t
 }
 
+// SharedKeys returns the pairs of customers with a common key, in the order of the table.
+func (t *Table) SharedKeys() []SharedKey {
+	return t.shared
+}
+
 // Find returns the customer with the given key, or nil.
 func (t *Table) Find(key daisygap.CustomerKey) *daisygap.Customer {
 	return t.byKey[key]
--- a/internal/standin/instance/server.go
+++ b/internal/standin/instance/server.go
@@ -21,6 +21,8 @@
 	Path     string
 	Body     string
 	Executed bool
+	// Header is the header of the request as it arrived.
+	Header http.Header
 }
 
 // Run is one request that a server started to run.
@@ -33,6 +35,8 @@
 	At        time.Time
 	// Ended is when the caller canceled the request before the response, or zero.
 	Ended time.Time
+	// Customer is the customer's name that the request carries, or "".
+	Customer string
 }
 
 // Server simulates one server process. Set the exported fields before Run.
@@ -213,7 +217,7 @@
 	}
 	s.mu.Unlock()
 	if s.OnArrival != nil {
-		s.OnArrival(Arrival{ID: r.Header.Get("Request-Id"), Path: r.RequestURI, Body: string(body), Executed: run != nil})
+		s.OnArrival(Arrival{ID: r.Header.Get("Request-Id"), Path: r.RequestURI, Body: string(body), Executed: run != nil, Header: r.Header})
 	}
 	if run == nil {
 		if fault == RepeatRefusal || fault == RepeatBareRefusal {
@@ -263,7 +267,7 @@
 	if err != nil {
 		remaining = -1
 	}
-	run := &Run{ID: r.Header.Get("Request-Id"), Path: r.RequestURI, Body: body, Remaining: remaining, At: time.Now()}
+	run := &Run{ID: r.Header.Get("Request-Id"), Path: r.RequestURI, Body: body, Remaining: remaining, At: time.Now(), Customer: r.Header.Get("Tenant")}
 	s.runs = append(s.runs, run)
 	s.running++
 	return run
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -34,14 +34,28 @@
 	Timeout  string
 	Attempts int
 	Homes    []string
+	Public   bool
+	Priority int
 }
 
-// Site is one deployment. Set Regions, Routes, Log and MirrorDelay before Run, which sets Store and Clock.
+// Customer is one customer of the configuration. A nil Priority means that of the route.
+type Customer struct {
+	Name     string
+	Keys     []string
+	Priority *int
+	Rate     float64
+	Burst    float64
+	Homes    []string
+}
+
+// Site is one deployment. Set Regions, Routes, Customers, Log and MirrorDelay before Run, which sets Store and Clock.
 type Site struct {
 	// Regions is the region of each failure domain.
 	Regions map[string]string
 	Routes  []Route
-	Log     *logrus.Logger
+	// Customers are written with every configuration. Without any, it has no table of them.
+	Customers []Customer
+	Log       *logrus.Logger
 	// MirrorDelay is how long a daemon that got an update waits until it asks for the next one.
 	MirrorDelay time.Duration
 	// PeersCut cuts all daemons off from each other.
@@ -98,13 +112,17 @@
 	for _, r := range routes {
 		pools[r.Pool] = true
 		rows = append(rows, []any{
-			r.Name, Host, r.Prefix, r.Kind, orDefault(r.Timeout, "2000ms"), "300ms", 1, nil, max(r.Attempts, 2), true, r.Homes, r.Pool,
+			r.Name, Host, r.Prefix, r.Kind, orDefault(r.Timeout, "2000ms"), "300ms", max(r.Priority, 1), nil, max(r.Attempts, 2), true, r.Homes, r.Pool, r.Public,
 		})
 	}
 	for p := range pools {
 		services = append(services, []any{p, instance.HealthPath, 390, "h1", false, "3s", 13.0})
 	}
-	return s.Put("op/config", encodeConfiguration(s.version, rows, services))
+	var tenants [][]any
+	for _, c := range s.Customers {
+		tenants = append(tenants, []any{c.Name, c.Keys, c.Priority, c.Rate, c.Burst, c.Homes})
+	}
+	return s.Put("op/config", encodeConfiguration(s.version, rows, services, tenants))
 }
 
 func orDefault(value, fallback string) string {
@@ -114,13 +132,13 @@
 	return value
 }
 
-func encodeConfiguration(version uint64, routes, services [][]any) []byte {
-	data, err := json.Marshal(map[string]any{
+func encodeConfiguration(version uint64, routes, services, tenants [][]any) []byte {
+	document := map[string]any{
 		"version": fmt.Sprintf("%08x", version),
 		"routes": map[string]any{
 			"columns": []string{
 				"name", "host", "prefix", "kind", "timeout", "target_latency", "priority", "traffic_split", "max_attempts",
-				"session_affinity", "home_regions", "service",
+				"session_affinity", "home_regions", "service", "public",
 			},
 			"rows": routes,
 		},
@@ -131,7 +149,13 @@
 		"limits": map[string]any{
 			"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout": "3000ms", "idle_timeout": "15000ms",
 		},
-	})
+	}
+	if len(tenants) > 0 {
+		document["tenants"] = map[string]any{
+			"columns": []string{"name", "api_keys", "priority", "rate_per_s", "burst", "home_regions"}, "rows": tenants,
+		}
+	}
+	data, err := json.Marshal(document)
 	if err != nil {
 		panic(err)
 	}
