--- a/internal/daemon/steer/customer_test.go
+++ b/internal/daemon/steer/customer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/daisygap/daisygap/internal/standin/instance"
@@ -277,3 +279,42 @@
 		t.Error("the key that two customers have isn't logged")
 	}
 }
+
+// TestCustomerChangesTheRoute guards against a customer whose regions or priority have no effect, and counts its requests by name.
+func TestCustomerChangesTheRoute(t *testing.T) {
+	priority := 47
+	ts := newSite(t, &site.Site{Regions: regions, Routes: keyedRoutes, Customers: []site.Customer{
+		{Name: "southern", Keys: []string{"southern-key"}, Homes: []string{"south", "west"}},
+		{Name: `urgent "x"`, Keys: []string{"urgent-key"}, Priority: &priority},
+	}})
+	for domain := range regions {
+		ts.startServer(domain+"-stock", "stock", domain)
+	}
+	ts.startDaemons("n-1")
+	ids := make(map[string]bool)
+	for i := range 20 {
+		got := ts.sendKeyed(ts.daemons[0], http.MethodGet, fmt.Sprintf("/reads/%d", i), "Authorization: Bearer southern-key")
+		if got.status != http.StatusOK {
+			t.Fatalf("status %d, want 200", got.status)
+		}
+		ids[got.id] = true
+	}
+	for _, s := range ts.servers {
+		for _, run := range s.Runs() {
+			if ids[run.ID] && s.Domain != "s-1" {
+				t.Errorf("a request of a customer of the south ran in %s", s.Domain)
+			}
+		}
+	}
+	ts.sendKeyed(ts.daemons[0], http.MethodGet, "/reads/1", "Authorization: Bearer urgent-key")
+	var out bytes.Buffer
+	metrics.WritePrometheus(&out, false)
+	for _, line := range []string{
+		`daisygap_request_seconds_count{rank="47",repeat="true"} 1`, `daisygap_customer_requests_total{customer="southern"} 20`,
+		`daisygap_customer_refusals_total{customer="southern"} 0`, `daisygap_customer_requests_total{customer="urgent \"x\""} 1`,
+	} {
+		if !strings.Contains(out.String(), line+"\n") {
+			t.Errorf("the metrics lack %s", line)
+		}
+	}
+}
--- a/internal/policy/customer/usage.go
+++ b/internal/policy/customer/usage.go
@@ -72,8 +72,8 @@
 	return &u.other
 }
 
-// endWindow gives counts of their own to the customers with the most requests in the window. The counts never fall: those of a customer that
-// loses its own end, and its later requests count as Other.
+// endWindow gives counts of their own to the customers with the most requests in the window. The counts of a customer that loses its
+// own are added to Other, so that no count falls and the sum stays that of all requests.
 func (u *Usage) endWindow() {
 	names := make([]string, 0, len(u.recent))
 	for name := range u.recent {
@@ -91,8 +91,13 @@
 	}
 	// Customers without requests in the window keep the places that nobody else needs.
 	for name, c := range u.named {
-		if top[name] == nil && len(top) < u.Limit {
+		switch {
+		case top[name] != nil:
+		case len(top) < u.Limit:
 			top[name] = c
+		default:
+			u.other.Requests += c.Requests
+			u.other.Refused += c.Refused
 		}
 	}
 	u.named, u.recent = top, make(map[string]int)
