--- a/internal/command/load/load.go
+++ b/internal/command/load/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/command/term"
 	"github.com/daisygap/daisygap/internal/standin/caller"
+	"github.com/daisygap/daisygap/platform"
 )
 
 // Command implements the daisygap load command.
@@ -28,6 +30,8 @@
 	callers      int
 	asJSON       bool
 	direct       bool
+	keyFile      string
+	platformHost string
 }
 
 // Name returns the command's name.
@@ -55,6 +59,8 @@
 	f.StringVar(&c.addressBlock, "block", "10.101", "first two octets of the callers' addresses")
 	f.IntVar(&c.callers, "callers", 50, "number of callers in each flow")
 	f.BoolVar(&c.asJSON, "json", false, "write JSON")
+	f.StringVar(&c.keyFile, "keys", "", "file with customers' keys, one a line, which the requests carry in turn")
+	f.StringVar(&c.platformHost, "platform", "", "host name to send to daemons on the platform, with its headers and without look-ups")
 	f.BoolVar(&c.direct, "direct", false, "send all requests to the first target, without look-ups")
 }
 
@@ -64,10 +70,17 @@
 	if err == nil && c.targets == "" {
 		err = &daisygap.FieldError{Field: "--target", Want: "at least one caller address"}
 	}
+	var keys []daisygap.CustomerKey
+	if err == nil && c.keyFile != "" {
+		keys, err = readKeys(c.keyFile)
+	}
 	if err != nil {
 		return c.Output.Fail(err)
 	}
-	d := &caller.Driver{Targets: strings.Split(c.targets, ","), Flows: flows, Seed: c.seed, MaxRequests: c.maxRequests, Direct: c.direct}
+	d := &caller.Driver{Targets: strings.Split(c.targets, ","), Flows: flows, Seed: c.seed, MaxRequests: c.maxRequests, Direct: c.direct, Keys: keys}
+	if c.platformHost != "" {
+		d.Host, d.WriteHead = c.platformHost, platform.WriteCallerHead
+	}
 	rows := d.Run(ctx)
 	if c.asJSON {
 		return c.Output.JSON(rows)
@@ -76,6 +89,24 @@
 	return subcommands.ExitSuccess
 }
 
+// readKeys reads the keys from a file. Empty lines are ignored. Keys aren't flags, because the arguments of a process are public.
+func readKeys(name string) ([]daisygap.CustomerKey, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, daisygap.WrapError("read keys", name, err)
+	}
+	var keys []daisygap.CustomerKey
+	for line := range strings.Lines(string(data)) {
+		if key := strings.TrimSpace(line); key != "" {
+			keys = append(keys, daisygap.CustomerKey(key))
+		}
+	}
+	if len(keys) == 0 {
+		return nil, &daisygap.FieldError{Field: "--keys", Want: "a file with at least one key"}
+	}
+	return keys, nil
+}
+
 func (c *Command) parseFlows() ([]caller.Flow, error) {
 	var flows []caller.Flow
 	for i, spec := range strings.Split(c.flows, ",") {
