--- a/internal/daemon/steer/events.go
+++ b/internal/daemon/steer/events.go
@@ -160,7 +160,10 @@
 		f["version"], f["revision"] = e.snapshot.config.Version, e.d.revision()
 	}
 	if e.route != nil {
-		f["route"], f["pool"], f["left_ms"] = e.route.Name, e.pool, e.deadline-e.d.Clock.Now()
+		f["route"] = e.route.Name
+	}
+	if e.pool != "" {
+		f["pool"], f["left_ms"] = e.pool, e.deadline-e.d.Clock.Now()
 	}
 	if e.customer != nil {
 		f["customer"] = e.customer.Name
