customer: the cache of routes is bounded

Each customer with a priority or regions of its own got a copy of each route that it used, so that memory grew with their number. Customers with the same priority and regions now share it, 4,096 routes are cached at most, and the histograms of latency name at most 100 priorities.

20,000 customers of five priorities, half of them with regions: 10 cached routes.

--- a/internal/daemon/steer/events.go
+++ b/internal/daemon/steer/events.go
@@ -65,11 +65,14 @@
 	d.Log.Event(name, fields())
 }
 
+// maxRankLabel is the priority from which on requests share a histogram, since customers may have many different ones.
+const maxRankLabel = 99
+
 // logDelivered records the latency of a delivered response and logs the response. Late and failed ones count as separate
 // kinds of events, so that the rate limit for ordinary ones doesn't suppress them.
 func (e *exchange) logDelivered(a *attempt) {
 	took := e.d.Clock.Now() - e.started
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`daisygap_request_seconds{rank="%d",repeat="%t"}`, e.route.Priority, e.route.Idempotent)).Update(took.Duration().Seconds())
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`daisygap_request_seconds{rank="%d",repeat="%t"}`, min(max(e.route.Priority, 0), maxRankLabel), e.route.Idempotent)).Update(took.Duration().Seconds())
 	kind := "answer"
 	if took > e.route.TargetLatency {
 		kind = "late answer"
--- a/internal/policy/customer/table.go
+++ b/internal/policy/customer/table.go
@@ -2,7 +2,9 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/daisygap/daisygap"
 )
@@ -10,8 +12,9 @@
 // Table holds the customers of one configuration version. It is safe for concurrent use.
 type Table struct {
 	byKey map[daisygap.CustomerKey]*daisygap.Customer
-	// routes caches the routes as they apply to customers.
+	// routes caches the routes as they apply to customers, by routeOf, and cached is their number.
 	routes sync.Map
+	cached atomic.Int64
 	shared []SharedKey
 }
 
@@ -21,10 +24,17 @@
 	Other string
 }
 
-// routeOf is the key of a cached route.
+// maxCachedRoutes bounds the memory of the cache if the customers have very many different priorities and regions. Further routes are
+// computed for each request, which takes under a microsecond.
+const maxCachedRoutes = 4_096
+
+// routeOf is the key of a cached route. Customers with the same priority and regions share it, so that the cache doesn't grow with their
+// number.
 type routeOf struct {
-	route    *daisygap.Route
-	customer *daisygap.Customer
+	route       *daisygap.Route
+	priority    int
+	hasPriority bool
+	regions     string
 }
 
 // New returns a table of customers. Of several customers with the same key the first has it.
@@ -60,7 +70,8 @@
 	if c == nil || !c.HasPriority && len(c.AllowedRegions) == 0 {
 		return r, true
 	}
-	if cached, ok := t.routes.Load(routeOf{r, c}); ok {
+	key := routeOf{r, c.Priority, c.HasPriority, strings.Join(c.AllowedRegions, "\x00")}
+	if cached, ok := t.routes.Load(key); ok {
 		route := cached.(*daisygap.Route)
 		return route, route != nil
 	}
@@ -72,7 +83,10 @@
 	if own.AllowedRegions = intersect(r.AllowedRegions, c.AllowedRegions); own.AllowedRegions != nil && len(own.AllowedRegions) == 0 {
 		route = nil
 	}
-	t.routes.Store(routeOf{r, c}, route)
+	if t.cached.Load() < maxCachedRoutes {
+		t.cached.Add(1)
+		t.routes.Store(key, route)
+	}
 	return route, route != nil
 }
 
--- a/internal/policy/customer/table_test.go
+++ b/internal/policy/customer/table_test.go
@@ -85,6 +85,34 @@
 	}
 }
 
+// TestRouteCacheIsBounded guards against memory that grows with the number of customers and their requests.
+func TestRouteCacheIsBounded(t *testing.T) {
+	route := &daisygap.Route{Name: "r"}
+	for name, tt := range map[string]struct {
+		priority func(i int) int
+		want     int64
+	}{
+		"few priorities":  {func(i int) int { return i % 5 }, 10},
+		"many priorities": {func(i int) int { return i }, maxCachedRoutes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := New(nil)
+			for i := range 20_000 {
+				c := &daisygap.Customer{Priority: tt.priority(i), HasPriority: true}
+				if i%2 == 0 {
+					c.AllowedRegions = []string{"n", "s"}
+				}
+				if got, _ := table.Route(route, c); got.Priority != c.Priority || len(got.AllowedRegions) != len(c.AllowedRegions) {
+					t.Fatalf("route %+v for %+v", got, c)
+				}
+			}
+			if got := table.cached.Load(); got != tt.want {
+				t.Errorf("%d cached routes, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestKeysFormatRedacted guards against a key in a log line or an error that formats a customer.
 func TestKeysFormatRedacted(t *testing.T) {
 	c := daisygap.Customer{Name: "a", Keys: keys("secret")}
