--- a/internal/policy/customer/table.go
+++ b/internal/policy/customer/table.go
@@ -39,7 +39,7 @@
 
 // New returns a table of customers. Of several customers with the same key the first has it.
 func New(customers []daisygap.Customer) *Table {
-	t := &Table{byKey: make(map[daisygap.CustomerKey]*daisygap.Customer)}
+	t := &Table{byKey: make(map[daisygap.CustomerKey]*daisygap.Customer, len(customers))}
 	for i := range customers {
 		for _, key := range customers[i].Keys {
 			switch owner := t.byKey[key]; {
