--- a/internal/daemon/steer/bench_test.go
+++ b/internal/daemon/steer/bench_test.go
@@ -90,7 +90,21 @@
 
 // BenchmarkServeCaller measures the handling of a request whose server responds immediately.
 func BenchmarkServeCaller(b *testing.B) {
+	serveCaller(b, &site.Site{Regions: regions, Routes: routes}, "")
+}
+
+// BenchmarkServeCustomer measures the same with the key of one of 1,000 customers.
+func BenchmarkServeCustomer(b *testing.B) {
 	s := &site.Site{Regions: regions, Routes: routes}
+	priority := 0
+	for i := range 1_000 {
+		s.Customers = append(s.Customers, site.Customer{Name: fmt.Sprintf("customer-%d", i), Keys: []string{fmt.Sprintf("key-%d", i)}, Priority: &priority})
+	}
+	serveCaller(b, s, "key-500")
+}
+
+func serveCaller(b *testing.B, s *site.Site, key string) {
+	b.Helper()
 	if err := s.Run(); err != nil {
 		b.Fatal(err)
 	}
@@ -112,6 +126,9 @@
 		r.Host = site.Host
 		r.Header.Set("Request-Id", "a")
 		r.Header.Set("Cookie", "Request-Affinity=1")
+		if key != "" {
+			r.Header.Set("Authorization", "Bearer "+key)
+		}
 		w := httptest.NewRecorder()
 		d.Listeners.Daemon.ServeCaller(w, r)
 		if w.Code != http.StatusOK {
