--- a/internal/daemon/steer/events.go
+++ b/internal/daemon/steer/events.go
@@ -65,11 +65,14 @@
 	d.Log.Event(name, fields())
 }
 
+// maxRankLabel is the priority from which on requests share a histogram, since customers may have many different ones.
+const maxRankLabel = 99
+
 // logDelivered records the latency of a delivered response and logs the response. Late and failed ones count as separate
 // kinds of events, so that the rate limit for ordinary ones doesn't suppress them.
 func (e *exchange) logDelivered(a *attempt) {
 	took := e.d.Clock.Now() - e.started
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`daisygap_request_seconds{rank="%d",repeat="%t"}`, e.route.Priority, e.route.Idempotent)).Update(took.Duration().Seconds())
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`daisygap_request_seconds{rank="%d",repeat="%t"}`, min(max(e.route.Priority, 0), maxRankLabel), e.route.Idempotent)).Update(took.Duration().Seconds())
 	kind := "answer"
 	if took > e.route.TargetLatency {
 		kind = "late answer"
@@ -85,12 +88,18 @@
 }
 
 func (e *exchange) logRefusal(status int, reason daisygap.Reason, run daisygap.RunState, c placement.Choice) {
+	if e.customer != nil {
+		customerUsage.AddRefusal(e.customer.Name)
+	}
 	e.d.event("refusal", string(reason), func() daisygap.Fields {
 		f := e.fields(nil)
 		f["status"], f["reason"], f["run"], f["verdict"] = status, reason, run, c.Verdict
 		if c.PassedOver > 0 {
 			f["passed_over"] = c.PassedOver
 		}
+		if reason == daisygap.ReasonUnknownKey {
+			f["key_sent"] = e.head.Key != ""
+		}
 		if reason == daisygap.ReasonPoisoned {
 			f["fingerprint"] = formatFingerprint(e.fingerprint)
 		}
@@ -154,7 +163,13 @@
 		f["version"], f["revision"] = e.snapshot.config.Version, e.d.revision()
 	}
 	if e.route != nil {
-		f["route"], f["pool"], f["left_ms"] = e.route.Name, e.pool, e.deadline-e.d.Clock.Now()
+		f["route"] = e.route.Name
+	}
+	if e.pool != "" {
+		f["pool"], f["left_ms"] = e.pool, e.deadline-e.d.Clock.Now()
+	}
+	if e.customer != nil {
+		f["customer"] = e.customer.Name
 	}
 	if a != nil {
 		if a.choice.PassedOver > 0 {
