allowance: customers' rates hold over all daemons together

Cause: a customer's rate and burst are configured but nothing limits its requests; each daemon sees only a part of them.

Change: each daemon reports admitted and refused requests to the relay of its group, and relays report the sums to the coordinator of each slot, which keeps the customers' buckets and returns the fraction of the requests that may be admitted. The request path asks the local limiter and never waits. Refusals are 429 over_allowance with Retry-After, and requests that reach no upstream return their tokens.

--- a/gossip.go
+++ b/gossip.go
@@ -163,6 +163,7 @@
 	Permit(ctx context.Context, address string, r PermitRequest) (PermitReply, error)
 	// Mirror fetches the changes of a daemon's replica of the store.
 	Mirror(ctx context.Context, address string, q MirrorQuery) (StoreUpdate, error)
+	AllowancePeers
 }
 
 // SteeringService is the server side of the calls between steering daemons.
@@ -171,4 +172,5 @@
 	ServePermit(r PermitRequest) PermitReply
 	// ServeMirror returns early when the context ends, because the caller no longer waits for the result.
 	ServeMirror(ctx context.Context, q MirrorQuery) StoreUpdate
+	AllowanceService
 }
--- a/internal/adapter/peer/steering.go
+++ b/internal/adapter/peer/steering.go
@@ -10,9 +10,10 @@
 
 // The methods that a daemon on the platform serves to other daemons.
 const (
-	methodGossip = "gossip"
-	methodMirror = "mirror"
-	methodPermit = "permit"
+	methodGossip    = "gossip"
+	methodMirror    = "mirror"
+	methodPermit    = "permit"
+	methodAllowance = "allowance"
 )
 
 var _ daisygap.SteeringPeers = (*Client)(nil)
@@ -31,6 +32,13 @@
 	return reply, err
 }
 
+// Allowance reports the use of customers' allowances to a relay or a coordinator. The context bounds the wait for the reply.
+func (c *Client) Allowance(ctx context.Context, address string, r daisygap.AllowanceReport) (daisygap.AllowanceReply, error) {
+	var reply daisygap.AllowanceReply
+	err := c.call(ctx, address, callTimeout, methodAllowance, r, &reply)
+	return reply, err
+}
+
 // Mirror fetches the changes of a peer's replica of the store. A query with a wait ends the one before it on the peer's connection.
 func (c *Client) Mirror(ctx context.Context, address string, q daisygap.MirrorQuery) (daisygap.StoreUpdate, error) {
 	var result mirrorResult
@@ -48,6 +56,10 @@
 		return serveCall(r, func(g daisygap.Gossip) (daisygap.Gossip, error) { return s.Steering.ServeGossip(g), nil })
 	case r.Method == methodPermit:
 		return serveCall(r, func(p daisygap.PermitRequest) (daisygap.PermitReply, error) { return s.Steering.ServePermit(p), nil })
+	case r.Method == methodAllowance:
+		return serveCall(r, func(a daisygap.AllowanceReport) (daisygap.AllowanceReply, error) {
+			return s.Steering.ServeAllowance(a), nil
+		})
 	case r.Method == methodMirror:
 		return serveCall(r, func(q mirrorParams) (mirrorResult, error) {
 			ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/daemon/steer/allowance.go
@@ -0,0 +1,314 @@
+package steer
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/policy/allowance"
+	"github.com/daisygap/daisygap/internal/policy/placement"
+)
+
+const (
+	// allowanceTick is the time between two looks for due reports, and idleAllowanceTick the same if no customer has a rate.
+	allowanceTick     = daisygap.Millis(50)
+	idleAllowanceTick = daisygap.Millis(250)
+	// allowanceMembersInterval is the time between two updates of the daemons that relay and coordinate.
+	allowanceMembersInterval = daisygap.Millis(400)
+	// coordinatorBackoff is how long a daemon that didn't respond to a report isn't used as a relay or coordinator. Gossip notices its end
+	// in about that time.
+	coordinatorBackoff = daisygap.Millis(4_000)
+)
+
+var (
+	allowanceAdmitted = metrics.NewCounter(`daisygap_allowance_requests_total{result="admitted"}`)
+	allowanceRefused  = metrics.NewCounter(`daisygap_allowance_requests_total{result="refused"}`)
+	allowanceReturned = metrics.NewCounter(`daisygap_allowance_requests_total{result="returned"}`)
+	allowanceAnswered = metrics.NewCounter(`daisygap_allowance_reports_total{result="answered"}`)
+	allowanceFailed   = metrics.NewCounter(`daisygap_allowance_reports_total{result="failed"}`)
+	allowanceReceived = metrics.NewCounter(`daisygap_allowance_reports_total{result="received"}`)
+	limitedCustomers  atomicGauge
+	equalSharesGauge  atomicGauge
+)
+
+func init() {
+	metrics.NewGauge(`daisygap_limited_customers`, limitedCustomers.get)
+	metrics.NewGauge(`daisygap_allowance_equal_shares`, equalSharesGauge.get)
+}
+
+// allowances is what a daemon needs to keep the customers' allowances together with the others.
+type allowances struct {
+	limiter allowance.Limiter
+	relay   allowance.Relay
+	ledger  allowance.Ledger
+	wake    chan struct{}
+
+	mu sync.Mutex
+	// peers holds the daemons that may relay and coordinate, and backoff the addresses of those that failed, until when they aren't used.
+	peers   []daisygap.Peer
+	backoff map[string]daisygap.Millis
+	// coordinators caches the coordinator of each slot, by the number of slots, until a change of peers or backoff.
+	coordinators map[int][]daisygap.Peer
+}
+
+// takeAllowance takes a token from the allowance of the request's customer. It refuses the request if there is none, and returns false
+// then.
+func (e *exchange) takeAllowance() bool {
+	if e.customer == nil || e.customer.Rate <= 0 {
+		return true
+	}
+	admitted, wait, urgent := e.d.allowances.limiter.Take(e.customer, e.d.Clock.Now())
+	if urgent {
+		e.d.allowances.wakeUp()
+	}
+	if !admitted {
+		allowanceRefused.Inc()
+		e.refuse(http.StatusTooManyRequests, daisygap.ReasonOverAllowance, placement.Choice{RetryAfter: wait})
+		return false
+	}
+	allowanceAdmitted.Inc()
+	e.hasToken = true
+	return true
+}
+
+// returnUnusedAllowance returns the token of a request that has not reached an upstream.
+func (e *exchange) returnUnusedAllowance() {
+	if e.hasToken && e.reached == 0 {
+		allowanceReturned.Inc()
+		e.d.allowances.limiter.Return(e.customer, e.d.Clock.Now())
+	}
+}
+
+// wakeUp lets the loop look for due reports at once.
+func (a *allowances) wakeUp() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// runAllowances sends the reports that are due. Without customers that have a rate, this daemon reports nothing, but serves the reports of
+// others whose configuration has some.
+func (d *Daemon) runAllowances() {
+	a := &d.allowances
+	var config *daisygap.SteeringConfig
+	var membersAt daisygap.Millis
+	active, interval := false, idleAllowanceTick
+	for d.sleepOrWake(interval, a.wake) {
+		now := d.Clock.Now()
+		if s := d.snapshot.Load(); s != nil && s.config != config {
+			config = s.config
+			a.ledger.SetCustomers(config.Customers)
+			if hasRates := hasRates(config.Customers); hasRates != active {
+				active = hasRates
+				a.limiter.Start(now)
+				membersAt = 0
+			}
+		}
+		due := a.relay.Due(now)
+		if interval = allowanceTick; !active && len(due) == 0 {
+			interval = idleAllowanceTick
+			continue
+		}
+		if membersAt == 0 || now-membersAt >= allowanceMembersInterval {
+			membersAt = now
+			d.updateAllowanceMembers(now)
+		}
+		if active {
+			d.reportUse(now)
+		}
+		for _, k := range due {
+			d.reportSlot(k, now)
+		}
+		d.logAllowances(now)
+	}
+}
+
+func hasRates(list []daisygap.Customer) bool {
+	for i := range list {
+		if list[i].Rate > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// updateAllowanceMembers passes the live and the known daemons to the parts that divide the allowances among them.
+func (d *Daemon) updateAllowanceMembers(now daisygap.Millis) {
+	d.membership.mu.Lock()
+	var peers []daisygap.Peer
+	if d.Ready() {
+		peers = append(peers, *d.membership.roster.Self.Peer)
+	}
+	for _, h := range d.membership.roster.Alive(now) {
+		if h.Ready && !h.Leaving {
+			peers = append(peers, *h.Peer)
+		}
+	}
+	known := len(d.coldSenders(now))
+	d.membership.mu.Unlock()
+	a := &d.allowances
+	a.limiter.SetDaemons(known)
+	a.relay.SetDaemons(known)
+	a.ledger.SetDaemons(known)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.peers, a.coordinators = peers, nil
+	for address, until := range a.backoff {
+		if now >= until {
+			delete(a.backoff, address)
+		}
+	}
+}
+
+// coordinator returns the daemon that coordinates a slot and relays for the group of the same number.
+func (a *allowances) coordinator(k allowance.SlotKey) (daisygap.Peer, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.peers) == 0 {
+		return daisygap.Peer{}, false
+	}
+	list := a.coordinators[k.Slots]
+	if list == nil {
+		list = make([]daisygap.Peer, k.Slots)
+		for i := range list {
+			list[i], _ = allowance.Coordinator(i, k.Slots, a.peers, func(p daisygap.Peer) bool { return a.backoff[p.Address] > 0 })
+		}
+		if a.coordinators == nil {
+			a.coordinators = make(map[int][]daisygap.Peer)
+		}
+		a.coordinators[k.Slots] = list
+	}
+	return list[k.Slot], true
+}
+
+func (a *allowances) backOff(address string, until daisygap.Millis) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.backoff == nil {
+		a.backoff = make(map[string]daisygap.Millis)
+	}
+	a.backoff[address], a.coordinators = until, nil
+}
+
+// reportUse reports this daemon's use to its relay if that is due.
+func (d *Daemon) reportUse(now daisygap.Millis) {
+	l := &d.allowances.limiter
+	r, group, due := l.Report(now)
+	if !due {
+		return
+	}
+	d.sendReport(r, allowance.SlotKey{Slot: group, Slots: r.Slots}, func(reply daisygap.AllowanceReply) { l.Answered(r, reply) }, l.Failed)
+}
+
+// reportSlot reports the use of this daemon's group to the coordinator of a slot.
+func (d *Daemon) reportSlot(k allowance.SlotKey, now daisygap.Millis) {
+	relay := &d.allowances.relay
+	if r, ok := relay.Report(k, now); ok {
+		d.sendReport(r, k, func(reply daisygap.AllowanceReply) { relay.Answered(r, reply, d.Clock.Now()) }, func() { relay.Failed(r) })
+	}
+}
+
+// sendReport sends a report without waiting for the reply, unless the receiver is this daemon.
+func (d *Daemon) sendReport(r daisygap.AllowanceReport, k allowance.SlotKey, answered func(daisygap.AllowanceReply), failed func()) {
+	to, known := d.allowances.coordinator(k)
+	switch {
+	case !known:
+		failed()
+	case to.Name == d.Settings.Host:
+		answered(d.ServeAllowance(r))
+	default:
+		d.loops.Go(func() {
+			reply, err := d.callCoordinator(to.Address, r)
+			if err == nil {
+				allowanceAnswered.Inc()
+				answered(reply)
+				return
+			}
+			failed()
+			if d.ctx.Err() != nil {
+				return
+			}
+			allowanceFailed.Inc()
+			d.allowances.backOff(to.Address, d.Clock.Now()+coordinatorBackoff)
+			d.allowances.wakeUp()
+			d.event("allowance report failed", "allowance report failed", func() daisygap.Fields {
+				return daisygap.Fields{"peer": to.Address, "slot": k.Slot, "error": err.Error()}
+			})
+		})
+	}
+}
+
+// errLateReply is the error of a report whose reply is late.
+var errLateReply = errors.New("no reply in time")
+
+// callCoordinator sends a report and waits up to allowance.CallTimeout for the reply. The call itself ends later, since the end of a call
+// by its timeout closes the connection, which other calls use as well.
+func (d *Daemon) callCoordinator(address string, r daisygap.AllowanceReport) (daisygap.AllowanceReply, error) {
+	type result struct {
+		reply daisygap.AllowanceReply
+		err   error
+	}
+	done := make(chan result, 1)
+	ctx, cancel := context.WithCancel(d.ctx)
+	d.loops.Go(func() {
+		defer cancel()
+		reply, err := d.Peers.Allowance(ctx, address, r)
+		done <- result{reply, err}
+	})
+	timer := time.NewTimer(allowance.CallTimeout.Duration())
+	defer timer.Stop()
+	select {
+	case res := <-done:
+		return res.reply, res.err
+	case <-timer.C:
+		return daisygap.AllowanceReply{}, errLateReply
+	}
+}
+
+// ServeAllowance counts the report of a daemon, as its relay, or that of a relay, as the coordinator of a slot.
+func (d *Daemon) ServeAllowance(r daisygap.AllowanceReport) daisygap.AllowanceReply {
+	a, now := &d.allowances, d.Clock.Now()
+	allowanceReceived.Inc()
+	if !allowance.IsValid(r) {
+		return daisygap.AllowanceReply{Full: true}
+	}
+	if r.Heard > 0 {
+		return a.ledger.Report(r, now)
+	}
+	a.relay.Add(r, now)
+	// The slots of this daemon need no message, so that the reply already has their new limits.
+	for i := range r.Slots {
+		k := allowance.SlotKey{Slot: i, Slots: r.Slots}
+		if to, known := a.coordinator(k); known && to.Name == d.Settings.Host {
+			d.reportSlot(k, now)
+		}
+	}
+	a.wakeUp()
+	return a.relay.Reply(r, now)
+}
+
+// logAllowances logs the customers that became limited or open, and updates the gauges.
+func (d *Daemon) logAllowances(now daisygap.Millis) {
+	for _, c := range d.allowances.ledger.TakeChanges() {
+		name := "customer open"
+		if c.Limited {
+			name = "customer limited"
+		}
+		d.event(name, name, func() daisygap.Fields {
+			return daisygap.Fields{"customer": c.Customer, "rate": c.Rate, "demand": math.Round(c.Demand*10) / 10, "level": math.Round(c.Level*10) / 10}
+		})
+	}
+	limited, silent := d.allowances.limiter.State(now)
+	limitedCustomers.set(uint64(limited))
+	equalSharesGauge.set(0)
+	if silent {
+		equalSharesGauge.set(1)
+	}
+}
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -51,6 +51,7 @@
 	registration registration
 	events       eventLimits
 	renewals     renewals
+	allowances   allowances
 }
 
 // snapshot is the immutable configuration that the request path reads.
@@ -82,15 +83,17 @@
 	d.memory.Limit = memoryBudget(s.Steering.MemoryMB)
 	d.registration.wake = make(chan struct{}, 1)
 	d.crashes.wake = make(chan struct{}, 1)
+	d.allowances.wake = make(chan struct{}, 1)
 	d.crashes.tracker.Host = s.Host + "." + d.membership.roster.Self.Peer.Incarnation
 	d.budgets.ratio, d.budgets.slack = s.Steering.RetryRatio, s.Steering.RetrySlack
 	// The error is ignored: the settings were validated when they were loaded, and without a window there is no slack.
 	d.budgets.window, _ = s.Steering.RetryWindow.Millis()
 	d.Upstream.OnEarlyEnd = d.noteEarlyEnd
+	d.allowances.limiter.Name, d.allowances.relay.Name = s.Host, s.Host
 	d.startedAt = d.Clock.Now()
 	d.updateDaemonNames()
 	d.Log.Event("start", daisygap.Fields{"host": s.Host, "domain": s.Domain, "region": s.Region, "run": d.membership.roster.Self.Peer.Incarnation})
-	for _, loop := range []func(){d.runWatch, d.runCatchUp, d.runRegister, d.runGossip, d.runLapseExpiry, d.runPoolTicks, d.runHints, d.runRenewals, d.runNewsPush, d.runGuards} {
+	for _, loop := range []func(){d.runWatch, d.runCatchUp, d.runRegister, d.runGossip, d.runLapseExpiry, d.runPoolTicks, d.runHints, d.runRenewals, d.runNewsPush, d.runGuards, d.runAllowances} {
 		d.loops.Go(loop)
 	}
 }
--- a/internal/daemon/steer/deliver.go
+++ b/internal/daemon/steer/deliver.go
@@ -62,7 +62,7 @@
 	}
 	h.Set(daisygap.HeaderReason, string(reason))
 	h.Set(daisygap.HeaderRun, string(run))
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		e.d.Protocol.WriteRetryAfter(h, max(c.RetryAfter, failureRetryAfter))
 	}
 	h.Set("Content-Length", "0")
--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -65,6 +65,8 @@
 	lastReason daisygap.Reason
 	// leftAt is when the caller closed the sending side of its connection. It is set soon after the context of the request has ended.
 	leftAt atomic.Int64
+	// hasToken is set if the request holds a token of its customer's allowance.
+	hasToken bool
 	// alone is set if no other copy of the request may run, because it was blocked before.
 	alone bool
 	// fallback is a 5xx response that is delivered when no other upstream succeeds.
@@ -95,6 +97,10 @@
 		e.refuse(http.StatusServiceUnavailable, daisygap.ReasonStopping, placement.Choice{RetryAfter: stoppingRetryAfter})
 		return
 	}
+	if !e.takeAllowance() {
+		return
+	}
+	defer e.returnUnusedAllowance()
 	ctx, cancel := context.WithTimeout(e.parentContext(), (e.deadline - d.Clock.Now()).Duration())
 	defer cancel()
 	defer context.AfterFunc(d.answerCtx, cancel)()
--- /dev/null
+++ b/internal/policy/allowance/relay.go
@@ -0,0 +1,205 @@
+package allowance
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/daisygap/daisygap"
+)
+
+// urgentRelayed is the number of admitted requests of a customer since the last report from which on a relay's next report to its
+// coordinator is urgent.
+const urgentRelayed = 4
+
+// Relay sums the reports of the daemons of a group, and passes the limits of all slots on to them. It is safe for concurrent use.
+type Relay struct {
+	// Name is the name of the daemon.
+	Name string
+
+	mu      sync.Mutex
+	daemons int
+	// groups holds a group by its number of slots. Daemons that just learned of others differ in that number for a moment.
+	groups map[int]*group
+}
+
+// SlotKey names one of a number of slots.
+type SlotKey struct{ Slot, Slots int }
+
+// group is what a relay knows of the daemons that report to it with one number of slots.
+type group struct {
+	heard map[string]daisygap.Millis
+	slots []relaySlot
+	board board
+}
+
+// relaySlot is what a relay knows of one slot.
+type relaySlot struct {
+	link    link
+	waiting map[uint64]daisygap.AllowanceUse
+	again   []daisygap.AllowanceUse
+	// limited holds the customers that the coordinator limits.
+	limited map[uint64]bool
+}
+
+// SetDaemons sets the number of known daemons, including this one and those that can't be reached.
+func (r *Relay) SetDaemons(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.daemons = max(n, 1)
+}
+
+// Add counts the report of a daemon.
+func (r *Relay) Add(report daisygap.AllowanceReport, now daisygap.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !IsValid(report) {
+		return
+	}
+	g := r.groups[report.Slots]
+	if g == nil {
+		if r.groups == nil {
+			r.groups = make(map[int]*group)
+		}
+		g = newGroup(report.Slots, now)
+		r.groups[report.Slots] = g
+	}
+	g.heard[report.From] = now
+	for _, u := range report.Uses {
+		s := &g.slots[u.Customer%uint64(len(g.slots))]
+		sum := s.waiting[u.Customer]
+		sum.Customer, sum.Admitted, sum.Refused = u.Customer, sum.Admitted+u.Admitted, sum.Refused+u.Refused
+		s.waiting[u.Customer] = sum
+		if sum.Admitted >= urgentRelayed {
+			s.link.urgent = true
+		}
+	}
+}
+
+func newGroup(slots int, now daisygap.Millis) *group {
+	g := &group{heard: make(map[string]daisygap.Millis), slots: make([]relaySlot, slots)}
+	for i := range g.slots {
+		g.slots[i] = relaySlot{link: newLink(now), waiting: make(map[uint64]daisygap.AllowanceUse), limited: make(map[uint64]bool)}
+	}
+	return g
+}
+
+// countHeard returns the number of daemons of a group that reported lately.
+func (r *Relay) countHeard(g *group, now daisygap.Millis) int {
+	for name, at := range g.heard {
+		if now-at > heardPeriod(r.daemons) {
+			delete(g.heard, name)
+		}
+	}
+	return len(g.heard)
+}
+
+// Reply returns the limits that changed since a daemon's last report.
+func (r *Relay) Reply(report daisygap.AllowanceReport, now daisygap.Millis) daisygap.AllowanceReply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.groups[report.Slots]
+	if g == nil {
+		return daisygap.AllowanceReply{Full: true}
+	}
+	reply := g.board.changes(report.Seen, now)
+	for i := range g.slots {
+		if g.slots[i].link.isSilent(now) {
+			reply.Silent = append(reply.Silent, i)
+		}
+	}
+	return reply
+}
+
+// Due returns the slots whose coordinators are to get a report. Without reports of daemons there are none.
+func (r *Relay) Due(now daisygap.Millis) []SlotKey {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var due []SlotKey
+	for slots, g := range r.groups {
+		if r.countHeard(g, now) == 0 {
+			delete(r.groups, slots)
+			continue
+		}
+		for i := range g.slots {
+			s := &g.slots[i]
+			interval := relayInterval(r.daemons)
+			if len(s.waiting) == 0 && len(s.limited) == 0 {
+				interval = max(interval, minReportInterval)
+			}
+			if s.link.isDue(interval, now) {
+				due = append(due, SlotKey{i, slots})
+			}
+		}
+	}
+	return due
+}
+
+// Report returns the report to the coordinator of a slot, unless one is under way. It is to be ended with Answered or Failed.
+func (r *Relay) Report(k SlotKey, now daisygap.Millis) (report daisygap.AllowanceReport, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.groups[k.Slots]
+	if g == nil {
+		return report, false
+	}
+	heard, s := r.countHeard(g, now), &g.slots[k.Slot]
+	if heard == 0 || s.link.pending {
+		return report, false
+	}
+	s.link.begin(now)
+	for _, u := range s.waiting {
+		s.link.fresh = append(s.link.fresh, u)
+	}
+	report = daisygap.AllowanceReport{
+		From: r.Name, Slots: k.Slots, Heard: heard, Slot: k.Slot, Seen: s.link.version, Uses: slices.Concat(s.link.fresh, s.again),
+	}
+	s.again = nil
+	clear(s.waiting)
+	return report, true
+}
+
+// Answered applies the reply of a coordinator.
+func (r *Relay) Answered(report daisygap.AllowanceReport, reply daisygap.AllowanceReply, now daisygap.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.groups[report.Slots]
+	if g == nil {
+		return
+	}
+	s := &g.slots[report.Slot]
+	s.link.answered(reply.Version)
+	if reply.Full {
+		g.endUnlisted(s, reply.Limits, now)
+	}
+	for _, limit := range reply.Limits {
+		if limit.Fraction < 1 {
+			s.limited[limit.Customer] = true
+		} else {
+			delete(s.limited, limit.Customer)
+		}
+		g.board.set(limit, now)
+	}
+}
+
+// endUnlisted ends the limits of a slot that a full list doesn't contain.
+func (g *group) endUnlisted(s *relaySlot, list []daisygap.AllowanceLimit, now daisygap.Millis) {
+	listed := make(map[uint64]bool, len(list))
+	for _, limit := range list {
+		listed[limit.Customer] = true
+	}
+	for id := range s.limited {
+		if !listed[id] {
+			delete(s.limited, id)
+			g.board.set(daisygap.AllowanceLimit{Customer: id, Fraction: 1}, now)
+		}
+	}
+}
+
+// Failed ends a report that got no reply. The next one repeats what it contained.
+func (r *Relay) Failed(report daisygap.AllowanceReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if g := r.groups[report.Slots]; g != nil {
+		g.slots[report.Slot].again = g.slots[report.Slot].link.failed()
+	}
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -238,6 +238,14 @@
 	return p.SteeringPeers.Permit(ctx, address, r)
 }
 
+// Allowance reports the use of allowances unless the daemons are cut off.
+func (p cuttablePeers) Allowance(ctx context.Context, address string, r daisygap.AllowanceReport) (daisygap.AllowanceReply, error) {
+	if p.site.PeersCut.Load() {
+		return daisygap.AllowanceReply{}, errPeersCut
+	}
+	return p.SteeringPeers.Allowance(ctx, address, r)
+}
+
 // Stop stops a daemon abruptly, without draining, and waits for its goroutines.
 func (d *Daemon) Stop() {
 	d.Cancel()
