--- a/internal/daemon/steer/allowance_test.go
+++ b/internal/daemon/steer/allowance_test.go
@@ -163,3 +163,46 @@
 		t.Errorf("%d of %d requests got 503, and %d got 429", n, len(results), countStatus(results, http.StatusTooManyRequests))
 	}
 }
+
+// TestAllowanceHoldsWhileDaemonsAreCutOff guards against daemons that admit the whole rate each when they don't reach the others, and against
+// a customer that gets nothing then.
+func TestAllowanceHoldsWhileDaemonsAreCutOff(t *testing.T) {
+	t.Parallel()
+	ts := start(t, "n-1", "n-2", "s-1")
+	ts.setTenants(1, tenant{"acme", "key-a", 20, 0})
+	ts.PeersCut.Store(true)
+	time.Sleep(time.Second)
+	results := ts.sendAtRate("key-a", 100, 5*time.Second)
+	if n := countStatus(results, http.StatusOK); n > 130 || n < 60 {
+		t.Errorf("%d requests served in 5 s, want 60 to 130", n)
+	}
+}
+
+// TestAllowanceOutlivesItsCoordinators stops one daemon of three after the other under a flood.
+func TestAllowanceOutlivesItsCoordinators(t *testing.T) {
+	t.Parallel()
+	ts := start(t, "n-1", "n-2", "s-1")
+	ts.setTenants(1, tenant{"acme", "key-a", 20, 0})
+	stopped := ts.daemons
+	for i, d := range stopped[:2] {
+		ts.sendAtRate("key-a", 60, time.Second)
+		d.Stop()
+		ts.daemons = stopped[i+1:]
+	}
+	results := ts.sendAtRate("key-a", 60, 5*time.Second)
+	// The last daemon has a third of the rate while it doesn't know whether the others are only cut off.
+	if n := countStatus(results, http.StatusOK); n > 130 || n < 25 {
+		t.Errorf("%d requests served in 5 s, want 25 to 130", n)
+	}
+}
+
+// TestNothingIsReportedWithoutRates guards against the cost of reports in deployments whose customers have no rates.
+func TestNothingIsReportedWithoutRates(t *testing.T) {
+	t.Parallel()
+	ts := start(t, "n-1", "n-2", "s-1")
+	ts.setTenants(1, tenant{"acme", "key-a", 0, 0})
+	ts.sendAtRate("key-a", 40, time.Second)
+	if n := ts.AllowanceReports.Load(); n > 0 {
+		t.Errorf("%d reports sent", n)
+	}
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -46,6 +46,8 @@
 	MirrorDelay time.Duration
 	// PeersCut cuts all daemons off from each other.
 	PeersCut atomic.Bool
+	// AllowanceReports counts the reports that daemons sent to others.
+	AllowanceReports atomic.Int64
 	// MemoryMB is the memory setting of the daemons.
 	MemoryMB int
 	Store    *store.Server
@@ -243,6 +245,7 @@
 	if p.site.PeersCut.Load() {
 		return daisygap.AllowanceReply{}, errPeersCut
 	}
+	p.site.AllowanceReports.Add(1)
 	return p.SteeringPeers.Allowance(ctx, address, r)
 }
 
