--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -60,6 +60,8 @@
 	MirrorDelay time.Duration
 	// PeersCut cuts all daemons off from each other.
 	PeersCut atomic.Bool
+	// AllowanceReports counts the reports that daemons sent to others.
+	AllowanceReports atomic.Int64
 	// MemoryMB is the memory setting of the daemons.
 	MemoryMB int
 	Store    *store.Server
@@ -262,6 +264,15 @@
 	return p.SteeringPeers.Permit(ctx, address, r)
 }
 
+// Allowance reports the use of allowances unless the daemons are cut off.
+func (p cuttablePeers) Allowance(ctx context.Context, address string, r daisygap.AllowanceReport) (daisygap.AllowanceReply, error) {
+	if p.site.PeersCut.Load() {
+		return daisygap.AllowanceReply{}, errPeersCut
+	}
+	p.site.AllowanceReports.Add(1)
+	return p.SteeringPeers.Allowance(ctx, address, r)
+}
+
 // Stop stops a daemon abruptly, without draining, and waits for its goroutines.
 func (d *Daemon) Stop() {
 	d.Cancel()
