placement: shares wait for requests

Between the start and the first requests a region looks idle and took objects up to a share of 1 (10 s at 0.04 a second). Shares are now adjusted only while requests are seen, and objects get owners by domain only once most requests meet owners that have served them.

--- a/internal/policy/placement/homing.go
+++ b/internal/policy/placement/homing.go
@@ -29,6 +29,8 @@
 	// domainShareStep is the increase of the fraction of the objects that are owned by domain in one tick. The first request for an object at
 	// a new owner takes several times as long.
 	domainShareStep = 0.04
+	// maxWarmRatio is the largest ratio of the median time at owners to the low one while most requests meet an owner that has served the object.
+	maxWarmRatio = 1.6
 	// initialHeadroom is the fraction of a region's part of the work that stays at the start. The rest allows for demand that moves between
 	// regions, and for objects whose first requests are slow.
 	initialHeadroom = 0.8
@@ -76,12 +78,28 @@
 	return toUnitInterval(mixBits(object^domainSalt)) < p.homing.domainShare
 }
 
+// isWarm reports whether most requests are as fast as those for objects that their owners have served lately.
+func (p *Pool) isWarm() bool {
+	known := false
+	for _, t := range p.serviceTimes {
+		if t.hit.count < recentTimesSize {
+			continue
+		}
+		known = true
+		if t.hit.median > maxWarmRatio*t.hit.low {
+			return false
+		}
+	}
+	return known
+}
+
 // domainSalt makes the objects that are owned by domain independent of those that stay in the region.
 const domainSalt = 0x9e3779b97f4a7c15
 
-// adjustDomainShare gives more objects to owners in each domain while the region has spare slots for the first, slow requests there.
+// adjustDomainShare gives more objects to owners in each domain while the region has spare slots for the first, slow requests there, and most
+// requests meet an owner that has served the object.
 func (p *Pool) adjustDomainShare(local float64) {
-	if p.homing.byDomain && local < spareUtilization {
+	if p.homing.byDomain && local < spareUtilization && p.isWarm() {
 		p.homing.domainShare = min(1, p.homing.domainShare+domainShareStep)
 	}
 }
--- a/internal/policy/placement/locality.go
+++ b/internal/policy/placement/locality.go
@@ -37,7 +37,8 @@
 		p.updateHoming()
 	}
 	local, remote, both := p.updateUtilization(now)
-	if both && p.homing.active {
+	// Without requests, the utilization says nothing.
+	if both && p.homing.active && p.objects.estimate() > 0 {
 		p.adjustLocalShare(local, remote)
 		p.adjustDomainShare(local)
 		p.updateRouteShares()
