steer: the test of customers' metrics compares with their values before

Metrics belong to the process, so TestCustomerChangesTheRoute failed from the second run in a process on (go test -count 4); it passes four times.

--- a/internal/daemon/steer/customer_test.go
+++ b/internal/daemon/steer/customer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -283,6 +284,13 @@
 // TestCustomerChangesTheRoute guards against a customer whose regions or priority have no effect, and counts its requests by name.
 func TestCustomerChangesTheRoute(t *testing.T) {
 	priority := 47
+	before := make(map[string]float64)
+	for _, name := range []string{
+		`daisygap_request_seconds_count{rank="47",repeat="true"}`, `daisygap_customer_requests_total{customer="southern"}`,
+		`daisygap_customer_refusals_total{customer="southern"}`, `daisygap_customer_requests_total{customer="urgent \"x\""}`,
+	} {
+		before[name] = metricOf(t, name)
+	}
 	ts := newSite(t, &site.Site{Regions: regions, Routes: keyedRoutes, Customers: []site.Customer{
 		{Name: "southern", Keys: []string{"southern-key"}, Homes: []string{"south", "west"}},
 		{Name: `urgent "x"`, Keys: []string{"urgent-key"}, Priority: &priority},
@@ -307,14 +315,29 @@
 		}
 	}
 	ts.sendKeyed(ts.daemons[0], http.MethodGet, "/reads/1", "Authorization: Bearer urgent-key")
+	for name, want := range map[string]float64{
+		`daisygap_request_seconds_count{rank="47",repeat="true"}`: 1, `daisygap_customer_requests_total{customer="southern"}`: 20,
+		`daisygap_customer_refusals_total{customer="southern"}`: 0, `daisygap_customer_requests_total{customer="urgent \"x\""}`: 1,
+	} {
+		if got := metricOf(t, name) - before[name]; got != want {
+			t.Errorf("%s grew by %v, want %v", name, got, want)
+		}
+	}
+}
+
+// metricOf returns the value of a metric of this process, or 0 if there is none.
+func metricOf(t *testing.T, name string) float64 {
+	t.Helper()
 	var out bytes.Buffer
 	metrics.WritePrometheus(&out, false)
-	for _, line := range []string{
-		`daisygap_request_seconds_count{rank="47",repeat="true"} 1`, `daisygap_customer_requests_total{customer="southern"} 20`,
-		`daisygap_customer_refusals_total{customer="southern"} 0`, `daisygap_customer_requests_total{customer="urgent \"x\""} 1`,
-	} {
-		if !strings.Contains(out.String(), line+"\n") {
-			t.Errorf("the metrics lack %s", line)
+	for line := range strings.Lines(out.String()) {
+		if value, found := strings.CutPrefix(line, name+" "); found {
+			n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return n
 		}
 	}
+	return 0
 }
