upstream, steer, entry, platform: only 200 to 599 is a response

Cause: net/http's client returns any three digits as a status. WriteHeader panics below 100, so that 000 and 099 closed the caller's connection without a response; 101, 600 and 999 were passed on.

Change: upstream.Client.Send checks the status, closes the connection and returns ErrMaybeExecuted with ErrInvalidStatus, so that both daemons count a failure of the upstream, retry what may be repeated, and else answer 502. A status check with such a status failed. Handlers of both daemons run under listen.RecoverPanics, which counts and logs a panic and closes the connection.

--- a/internal/adapter/upstream/client.go
+++ b/internal/adapter/upstream/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -30,6 +31,9 @@
 // request.
 var ErrMaybeExecuted = errors.New("request failed and may have been executed")
 
+// ErrInvalidStatus is returned, together with ErrMaybeExecuted, if the status of a response isn't that of a final response.
+var ErrInvalidStatus = errors.New("invalid status")
+
 // Client sends requests to upstreams or to other entry hosts. It never sends a request again by itself, unless Send is called
 // with mayRepeat set.
 type Client struct {
@@ -93,9 +97,14 @@
 			preventReplay(out)
 		}
 		res, err := c.transport.RoundTrip(out)
-		if err == nil {
+		if err == nil && daisygap.IsFinalStatus(res.StatusCode) {
 			return res, nil
 		}
+		if err == nil {
+			use.close()
+			_ = res.Body.Close()
+			return nil, daisygap.WrapError("send", r.URL.Host, fmt.Errorf("%w: %w %03d", ErrMaybeExecuted, ErrInvalidStatus, res.StatusCode))
+		}
 		unsent := use.isUnsent() && ctx.Err() == nil
 		if unsent && use.reused.Load() && try < maxStaleConns && (!hasBody || getBody != nil) {
 			if hasBody {
--- a/internal/adapter/upstream/conn.go
+++ b/internal/adapter/upstream/conn.go
@@ -99,6 +99,13 @@
 	}
 }
 
+// close closes the connection.
+func (u *connUse) close() {
+	if c := u.conn.Load(); c != nil {
+		_ = c.Close()
+	}
+}
+
 // isUnsent reports whether a connection was found and no byte of the request was written to it. It must be called after the request
 // has failed.
 func (u *connUse) isUnsent() bool {
--- a/internal/daemon/entry/listeners.go
+++ b/internal/daemon/entry/listeners.go
@@ -11,6 +11,7 @@
 
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/adapter/caller"
+	"github.com/daisygap/daisygap/internal/adapter/listen"
 	"github.com/daisygap/daisygap/internal/adapter/operator"
 	"github.com/daisygap/daisygap/internal/adapter/peer"
 )
@@ -61,10 +62,10 @@
 func (ls *Listeners) Run() {
 	d := ls.Daemon
 	lookup := &caller.Lookup{Table: d.Table, Refuse: d.RefuseLookup}
-	ls.caller = newServer(ls.closesWhenStopping(callerHandler(lookup, d.ServeCaller)))
-	ls.forward = newServer(ls.closesWhenStopping(http.HandlerFunc(d.ServeForwarded)))
+	ls.caller = ls.newServer(ls.closesWhenStopping(callerHandler(lookup, d.ServeCaller)))
+	ls.forward = ls.newServer(ls.closesWhenStopping(http.HandlerFunc(d.ServeForwarded)))
 	operatorServer := &operator.Server{Operations: d, Token: d.Settings.Token, Pprof: d.Settings.Pprof}
-	ls.operator = newServer(operatorServer.Handler())
+	ls.operator = ls.newServer(operatorServer.Handler())
 	ls.peer = &peer.Server{Service: d, Log: d.Log.With("peer")}
 
 	ls.serve(ls.caller, ls.listeners[0])
@@ -80,18 +81,23 @@
 	return tls.NewListener(l, ls.TLS)
 }
 
-func newServer(h http.Handler) *http.Server {
+func (ls *Listeners) newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		// OPTIONS * is refused like any other target that no kind matches.
 		DisableGeneralOptionsHandler: true,
 
-		Handler:           h,
+		Handler:           listen.RecoverPanics(h, ls.logPanic),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 	}
 }
 
+// logPanic logs a panic of a handler.
+func (ls *Listeners) logPanic(r *http.Request, cause, stack string) {
+	ls.Daemon.Log.With("face").Warnf("request %q: handler panicked: %s\n%s", r.Header.Get(daisygap.HeaderID), cause, stack)
+}
+
 // closesWhenStopping returns a handler whose responses end their connections once the daemon stops, so that few kept connections are left
 // on which a request could cross the close.
 func (ls *Listeners) closesWhenStopping(h http.Handler) http.Handler {
--- a/internal/daemon/steer/listeners.go
+++ b/internal/daemon/steer/listeners.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/listen"
 	"github.com/daisygap/daisygap/internal/adapter/peer"
 )
 
@@ -75,7 +76,7 @@
 
 func (l *Listeners) server(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		Handler: listen.RecoverPanics(h, l.Daemon.logPanic), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		ErrorLog: l.Daemon.errorLog(),
 		// OPTIONS * is refused like any other target without a route.
 		DisableGeneralOptionsHandler: true,
@@ -107,6 +108,13 @@
 	l.group.Wait()
 }
 
+// logPanic logs a panic of a handler.
+func (d *Daemon) logPanic(r *http.Request, cause, stack string) {
+	d.event("panic", "panic", func() daisygap.Fields {
+		return daisygap.Fields{"id": d.Protocol.ReadRequestHead(r).ID, "error": cause, "stack": stack}
+	})
+}
+
 // MetricsHandler returns a handler that serves the metrics in the Prometheus text format.
 func MetricsHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/daemon/steer/restart.go
+++ b/internal/daemon/steer/restart.go
@@ -66,7 +66,8 @@
 	}
 	res, err := d.Upstream.Send(ctx, r, false)
 	if err != nil {
-		return placement.StatusCheck{Reached: !errors.Is(err, upstream.ErrNotSent), Refused: errors.Is(err, syscall.ECONNREFUSED)}
+		reached := !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, upstream.ErrInvalidStatus)
+		return placement.StatusCheck{Reached: reached, Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	defer func() { _ = res.Body.Close() }()
 	head := d.Protocol.ReadStatusHead(res)
--- a/protocol.go
+++ b/protocol.go
@@ -90,3 +90,9 @@
 	// Ready reports whether the daemon accepts callers.
 	Ready() bool
 }
+
+// IsFinalStatus reports whether a status is that of a final response. Others are no response: net/http can't send those below 100, and
+// callers may wait for more after the rest.
+func IsFinalStatus(status int) bool {
+	return status >= http.StatusOK && status < 600
+}
