listen, steer, entry, peer: memory and descriptors are bounded beside hostile clients

Cause: connections were bounded by nothing but the descriptors, messages between daemons (up to 4 MB each) by nothing, the first parts of bodies at the daemon with leases by nothing, and responses that weren't read never ended.

Change: a guard on each listener closes the connection that holds most for longest without progress, never one whose request is at an upstream; descriptors are shared out, with a reserve for upstreams, store, daemons and operators; a quarter of the budget of bodies is left to small ones; messages over 16 KiB take from a budget; responses end 2 s after the request's deadline; the heap has a soft limit of 70 percent of steering.memory.

--- a/internal/adapter/caller/inbound.go
+++ b/internal/adapter/caller/inbound.go
@@ -21,11 +21,11 @@
 const (
 	// MaxBody is the largest request body in bytes.
 	MaxBody = 64 << 20
-	// bodyPrefixBytes is the part of a body that is read before a slot is acquired, so that a caller that sends a small
+	// MaxBodyPrefix is the part of a body that is read before a slot is acquired, so that a caller that sends a small
 	// request slowly doesn't hold a slot meanwhile.
-	bodyPrefixBytes = 64 << 10
-	maxIDLength     = 64
-	maxKeyLength    = 256
+	MaxBodyPrefix = 64 << 10
+	maxIDLength   = 64
+	maxKeyLength  = 256
 )
 
 // Inbound is a received request with the properties that admission and routing are based on.
@@ -128,7 +128,7 @@
 		in.Request.Fingerprint = fingerprint(r, nil)
 		return nil
 	}
-	prefix, err := io.ReadAll(io.LimitReader(r.Body, bodyPrefixBytes+1))
+	prefix, err := io.ReadAll(io.LimitReader(r.Body, MaxBodyPrefix+1))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
@@ -137,7 +137,7 @@
 		return &Problem{daisygap.ReasonBadRequest, "reading the request body: " + err.Error()}
 	}
 	in.BodyPrefix = prefix
-	in.BodyComplete = len(prefix) <= bodyPrefixBytes
+	in.BodyComplete = len(prefix) <= MaxBodyPrefix
 	in.Request.Fingerprint = fingerprint(r, prefix)
 	return nil
 }
--- a/internal/adapter/peer/codec.go
+++ b/internal/adapter/peer/codec.go
@@ -11,8 +11,11 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/daisygap/daisygap/internal/adapter/listen"
 )
 
 // MaxMessage is the largest size of a message in bytes, before compression and after decompression.
@@ -32,7 +35,19 @@
 
 // codec precedes each JSON object with its length as a 32-bit big-endian number, so that an oversized object is rejected
 // before it is read.
-type codec struct{}
+type codec struct {
+	// conn is the guarded connection that messages are read from, or nil.
+	conn *listen.Conn
+}
+
+const (
+	// unreservedFrame is the size in bytes up to which a message is read without a reservation of memory.
+	unreservedFrame = 16 << 10
+	// frameTimeout bounds the time in which the rest of a message must arrive. The largest one takes 3.4 s at 10 Mbit/s.
+	frameTimeout = 10 * time.Second
+)
+
+var errNoMemory = errors.New("no memory for the message")
 
 // WriteObject writes one frame.
 func (codec) WriteObject(stream io.Writer, obj any) error {
@@ -57,7 +72,7 @@
 }
 
 // ReadObject reads one frame.
-func (codec) ReadObject(stream *bufio.Reader, into any) error {
+func (c codec) ReadObject(stream *bufio.Reader, into any) error {
 	var head [4]byte
 	if _, err := io.ReadFull(stream, head[:]); err != nil {
 		return err
@@ -68,8 +83,17 @@
 	if size > MaxMessage {
 		return fmt.Errorf("message of %d bytes exceeds the limit of %d bytes", size, MaxMessage)
 	}
+	if size > unreservedFrame {
+		// The buffer may grow to twice the size.
+		if !c.conn.Reserve(2 * int64(size)) {
+			return errNoMemory
+		}
+		defer c.conn.Release(2 * int64(size))
+	}
 	frame := buffers.Get().(*bytes.Buffer)
 	defer putBuffer(frame)
+	c.conn.BoundRead(frameTimeout)
+	defer c.conn.EndRead()
 	if n, err := io.CopyN(frame, stream, int64(size)); err != nil {
 		if n > 0 && errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/listen"
 )
 
 // Server serves the calls of other daemons. Its fields must be set before Run.
@@ -61,7 +62,7 @@
 			continue
 		}
 		pause = minAcceptPause
-		stream := jsonrpc2.NewBufferedStream(countingConn{raw}, codec{})
+		stream := jsonrpc2.NewBufferedStream(countingConn{raw}, codec{conn: listen.ConnOf(raw)})
 		handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed())
 		conn := jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(discardLogger{}))
 		s.trackConn(conn)
--- a/internal/adapter/upstream/client.go
+++ b/internal/adapter/upstream/client.go
@@ -77,6 +77,11 @@
 	c.transport.WriteBufferSize, c.transport.ReadBufferSize = size, size
 }
 
+// SetMaxIdle bounds the number of unused connections. It must be called before the first request.
+func (c *Client) SetMaxIdle(count int) {
+	c.transport.MaxIdleConns = count
+}
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.transport.CloseIdleConnections()
--- a/internal/command/serve/serve.go
+++ b/internal/command/serve/serve.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/listen"
 	"github.com/daisygap/daisygap/internal/adapter/peer"
 	"github.com/daisygap/daisygap/internal/adapter/settings"
 	"github.com/daisygap/daisygap/internal/adapter/upstream"
@@ -98,12 +99,16 @@
 		return nil, nil, err
 	}
 	peers := &peer.Client{TLS: client}
+	upstreams, forwards := upstream.NewClient(nil, nil), upstream.NewClient(client, nil)
+	idle := listen.FileShares().Idle() / 2
+	upstreams.SetMaxIdle(idle)
+	forwards.SetMaxIdle(idle)
 	d := &entry.Daemon{
 		Settings: s, Clock: &daisygap.Clock{},
 		Store:    &platform.Store{Base: s.StoreAddress, Host: s.Host, HTTP: &http.Client{}},
 		Peers:    peers,
-		Upstream: upstream.NewClient(nil, nil),
-		Forward:  upstream.NewClient(client, nil),
+		Upstream: upstreams,
+		Forward:  forwards,
 		Log:      log, Timing: entry.DefaultTiming(),
 	}
 	return &entry.Listeners{Daemon: d, TLS: server}, func(ctx context.Context) { prune(ctx, peers) }, nil
--- a/internal/command/serve/steer.go
+++ b/internal/command/serve/steer.go
@@ -15,6 +15,7 @@
 
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/adapter/journal"
+	"github.com/daisygap/daisygap/internal/adapter/listen"
 	"github.com/daisygap/daisygap/internal/adapter/peer"
 	"github.com/daisygap/daisygap/internal/adapter/settings"
 	"github.com/daisygap/daisygap/internal/adapter/upstream"
@@ -37,6 +38,9 @@
 	// upstreamBufferBytes is the size of each of the two buffers of a connection to an upstream. It is small because a daemon
 	// holds up to thousands of such connections.
 	upstreamBufferBytes = 4 << 10
+	// heapPercent is the percentage of the process's memory from which on garbage is collected more often. The program's code, the
+	// stacks of the kernel and short peaks need the rest.
+	heapPercent = 70
 	// directoryTTL is how long callers may cache a response of the directory.
 	directoryTTL = daisygap.Millis(2_000)
 	// cachedLookupShare is the fraction of the grace period during which new requests are still accepted from callers with
@@ -54,6 +58,9 @@
 	if s.Steering.GCPercent > 0 {
 		debug.SetGCPercent(s.Steering.GCPercent)
 	}
+	if s.Steering.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.Steering.MemoryMB) << 20 / 100 * heapPercent)
+	}
 	writer := &journal.Writer{Out: c.Output.Out}
 	writer.Run()
 	defer writer.Close()
@@ -87,6 +94,7 @@
 func buildSteering(s *daisygap.Settings, log daisygap.Log) *steer.Listeners {
 	upstreams := upstream.NewClient(nil, upstream.NewDialer(dialTimeout, ackTimeout).DialContext)
 	upstreams.SetIdleTimeout(upstreamIdleTimeout)
+	upstreams.SetMaxIdle(listen.FileShares().Idle())
 	upstreams.SetBufferSize(upstreamBufferBytes)
 	storeTransport := &http.Transport{DialContext: upstream.NewDialer(storeTimeout, storeTimeout).DialContext}
 	d := &steer.Daemon{
--- a/internal/daemon/entry/daemon.go
+++ b/internal/daemon/entry/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/daisygap/daisygap/internal/policy/configuration"
 	"github.com/daisygap/daisygap/internal/policy/membership"
 	"github.com/daisygap/daisygap/internal/policy/once"
+	"github.com/daisygap/daisygap/internal/policy/quota"
 	"github.com/daisygap/daisygap/internal/policy/routing"
 )
 
@@ -62,9 +63,13 @@
 	// Seed makes the random choices repeatable in tests; 0 uses a random seed.
 	Seed uint64
 
-	incarnation   string
-	self          daisygap.Host
-	reader        caller.Reader
+	incarnation string
+	self        daisygap.Host
+	reader      caller.Reader
+	memory      quota.Bytes
+	// maxSends bounds the requests at upstreams and other daemons, so that descriptors are left for other connections. 0 means no bound.
+	maxSends      int64
+	sendCount     atomic.Int64
 	ctx           context.Context
 	tasks         sync.WaitGroup
 	stopping      atomic.Bool
@@ -99,6 +104,7 @@
 	d.incarnation = uuid.NewString()[:incarnationLength]
 	d.self = daisygap.Host{Name: d.Settings.Host, CallerAddress: d.Settings.CallerAddress, ForwardAddress: d.Settings.ForwardAddress, PeerAddress: d.Settings.PeerAddress}
 	d.reader = caller.Reader{Clock: d.Clock}
+	d.memory.Limit = requestMemory()
 	for _, t := range d.Settings.TrustedPrefixes {
 		if p, err := netip.ParsePrefix(t); err == nil {
 			d.reader.TrustedProxies = append(d.reader.TrustedProxies, p)
--- a/internal/daemon/entry/exchange.go
+++ b/internal/daemon/entry/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/adapter/caller"
 	"github.com/daisygap/daisygap/internal/adapter/forward"
+	"github.com/daisygap/daisygap/internal/adapter/listen"
 	"github.com/daisygap/daisygap/internal/adapter/upstream"
 	"github.com/daisygap/daisygap/internal/policy/balance"
 	"github.com/daisygap/daisygap/internal/policy/routing"
@@ -41,6 +42,8 @@
 	bodySent bool
 	// maybeExecuted is set once an upstream may have executed an attempt; no later refusal may claim "not run" then.
 	maybeExecuted bool
+	// sending is set once the exchange is counted among those that send requests.
+	sending bool
 	// localUnreachable counts the upstreams of the local domain that could not be reached.
 	localUnreachable int
 }
@@ -71,7 +74,18 @@
 	started := d.Clock.Now()
 	r.Body = http.MaxBytesReader(w, r.Body, caller.MaxBody)
 	control := http.NewResponseController(w)
+	// The deadline of the connection's previous response still stands.
+	_ = control.SetWriteDeadline(time.Time{})
 	in, problem := d.reader.Read(d.config(), r, forwarded)
+	conn := listen.FromContext(r.Context())
+	if problem == nil {
+		release, ok := d.takeBody(conn, r.ContentLength)
+		if ok {
+			defer release()
+		} else {
+			problem = &caller.Problem{Reason: daisygap.ReasonMemoryFull, Text: "no memory for the request body"}
+		}
+	}
 	if problem == nil {
 		wait := min(bodyStartTimeout, (in.Request.Deadline - started).Duration())
 		d.setReadDeadline(control, time.Now().Add(wait))
@@ -105,6 +119,8 @@
 		d.budgets.recordRequest(in.Request.Kind)
 	}
 	e := &exchange{d: d, in: in, out: w, ctx: ctx, triedDomains: make(map[string]bool)}
+	defer e.endSend()
+	conn.Pass()
 	e.run()
 	name := fmt.Sprintf(`daisygap_request_seconds{kind=%q,rank=%q}`, in.Request.Kind, in.Request.Rank)
 	metrics.GetOrCreateHistogram(name).Update(float64(d.Clock.Now()-started) / 1000)
@@ -241,6 +257,10 @@
 		e.triedDomains[d.Settings.Domain] = true
 		return attempt{refusal: e.refusal(denial.Reason, daisygap.NotRun, denial.Metrics)}
 	}
+	if !e.beginSend() {
+		slot.Done(balance.Abandoned)
+		return attempt{refusal: e.refusal(daisygap.ReasonQueueFull, daisygap.NotRun, daisygap.RefusalMetrics{TimeLeft: e.remaining()})}
+	}
 	out := e.newOutbound(slot.Address)
 	sent := d.Clock.Now()
 	res, err := d.Upstream.Send(e.ctx, out, e.in.Request.Idempotent)
@@ -308,6 +328,9 @@
 // forwardTo forwards the request to a daemon of another domain.
 func (e *exchange) forwardTo(choice routing.Choice) attempt {
 	d := e.d
+	if !e.beginSend() {
+		return attempt{refusal: e.refusal(daisygap.ReasonQueueFull, daisygap.NotRun, daisygap.RefusalMetrics{TimeLeft: e.remaining()})}
+	}
 	out := e.newOutbound(choice.Host.ForwardAddress)
 	if d.Settings.TLS != nil {
 		out.URL.Scheme = "https"
--- a/internal/daemon/entry/listeners.go
+++ b/internal/daemon/entry/listeners.go
@@ -21,6 +21,9 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 120 * time.Second
 	maxHeader     = 64 << 10
+	// operatorReadTimeout and operatorWriteTimeout bound the requests of operators, of which a profile takes 30 s.
+	operatorReadTimeout  = 10 * time.Second
+	operatorWriteTimeout = 90 * time.Second
 )
 
 // Listeners serves the caller, forward, peer and operator addresses of a daemon; set the exported fields before Open.
@@ -68,10 +71,16 @@
 	ls.operator = ls.newServer(operatorServer.Handler())
 	ls.peer = &peer.Server{Service: d, Log: d.Log.With("peer")}
 
-	ls.serve(ls.caller, ls.listeners[0])
-	ls.serve(ls.forward, ls.withTLS(ls.listeners[1]))
-	ls.tasks.Go(func() { ls.peer.Run(ls.withTLS(ls.listeners[2])) })
-	ls.serve(ls.operator, ls.withTLS(ls.listeners[3]))
+	ls.operator.ReadTimeout, ls.operator.WriteTimeout = operatorReadTimeout, operatorWriteTimeout
+
+	shares := listen.FileShares()
+	d.maxSends = int64(shares.Upstreams)
+	ls.serve(ls.caller, ls.guard("caller", shares.Callers).Listen(ls.listeners[0]))
+	// Other daemons forward requests over few connections.
+	ls.serve(ls.forward, ls.withTLS(ls.guard("carry", shares.Upstreams).Listen(ls.listeners[1])))
+	peers := ls.withTLS(ls.guard("peer", shares.Peers).Listen(ls.listeners[2]))
+	ls.tasks.Go(func() { ls.peer.Run(peers) })
+	ls.serve(ls.operator, ls.withTLS(ls.guard("operator", shares.Operators).Listen(ls.listeners[3])))
 }
 
 func (ls *Listeners) withTLS(l net.Listener) net.Listener {
@@ -82,7 +91,7 @@
 }
 
 func (ls *Listeners) newServer(h http.Handler) *http.Server {
-	return &http.Server{
+	s := &http.Server{
 		// OPTIONS * is refused like any other target that no kind matches.
 		DisableGeneralOptionsHandler: true,
 
@@ -91,6 +100,21 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 	}
+	listen.Protect(s)
+	return s
+}
+
+// guard returns a guard of a listener.
+func (ls *Listeners) guard(name string, connections int) *listen.Guard {
+	g := &listen.Guard{Name: name, Connections: connections, OnClose: ls.logClosing}
+	g.Memory.Limit = max(2*peer.MaxMessage, requestMemory()/2)
+	return g
+}
+
+// logClosing logs that a connection was closed to make room for others.
+func (ls *Listeners) logClosing(c listen.Closing) {
+	ls.Daemon.Log.With("face").Warnf("closed %d connections at %s for their %s, one of %s that held %d bytes and made no progress for %d ms",
+		c.Count, c.Listener, c.Reason, c.Address, c.Held, c.Stalled)
 }
 
 // logPanic logs a panic of a handler.
--- a/internal/daemon/entry/refusal.go
+++ b/internal/daemon/entry/refusal.go
@@ -30,6 +30,7 @@
 	daisygap.ReasonUnreachable:     http.StatusBadGateway,
 	daisygap.ReasonExpired:         http.StatusGatewayTimeout,
 	daisygap.ReasonDeadline:        http.StatusServiceUnavailable,
+	daisygap.ReasonMemoryFull:      http.StatusServiceUnavailable,
 	daisygap.ReasonNoConfiguration: http.StatusServiceUnavailable,
 }
 
--- a/internal/daemon/entry/response.go
+++ b/internal/daemon/entry/response.go
@@ -76,6 +76,8 @@
 	refusalBytes = 1_536
 	// refusalTimeout bounds how long a refusal waits for its link; after it the connection is closed.
 	refusalTimeout = time.Second
+	// flushTimeout bounds the sending of the last bytes of a response.
+	flushTimeout = 2 * time.Second
 )
 
 // paceRefusal waits for the link at the highest priority, because a caller can only retry elsewhere once it has the
@@ -128,7 +130,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil, control.SetWriteDeadline(time.Time{})
+			return nil, control.SetWriteDeadline(time.Now().Add(flushTimeout))
 		}
 		if err != nil {
 			return err, nil
--- a/internal/daemon/steer/body.go
+++ b/internal/daemon/steer/body.go
@@ -23,6 +23,8 @@
 	minStreamedBody = 64 << 10
 	// memoryRetryAfter is the Retry-After for a request for whose body there is no memory. Bodies leave within the time of a request.
 	memoryRetryAfter = daisygap.Millis(500)
+	// responseGrace is how long after a request's deadline its caller may still read the response.
+	responseGrace = daisygap.Millis(2_000)
 	// discardTime bounds the reading of the rest of a body that isn't needed.
 	discardTime = daisygap.Millis(50)
 )
@@ -97,7 +99,7 @@
 		size = min(size, int(min(n, maxBufferedBody))+1)
 	}
 	size = min(size, maxBufferedBody)
-	if !e.takeBytes(int64(size - cap(e.body))) {
+	if !e.takeBodyBytes(int64(size - cap(e.body))) {
 		return false
 	}
 	e.body = append(make([]byte, 0, size), e.body...)
@@ -158,6 +160,9 @@
 // beforeResponse must be called before a response is sent to the caller. If the body wasn't read to its end, the connection is closed after
 // the response, since net/http would first wait for the rest.
 func (e *exchange) beforeResponse() {
+	// A caller that doesn't read must not hold the response forever.
+	until := max(e.deadline, e.d.Clock.Now()) + responseGrace
+	_ = http.NewResponseController(e.w).SetWriteDeadline(time.Now().Add((until - e.d.Clock.Now()).Duration()))
 	if !e.bodyRead.Load() && e.in.ContentLength != 0 {
 		e.w.Header().Set("Connection", "close")
 		e.setReadDeadline(e.d.Clock.Now() + discardTime)
--- a/internal/daemon/steer/daemon.go
+++ b/internal/daemon/steer/daemon.go
@@ -43,7 +43,10 @@
 	startedAt daisygap.Millis
 	splitter  route.Splitter
 
-	memory       quota.Bytes
+	memory quota.Bytes
+	// maxForwards bounds the requests at upstreams, so that descriptors are left for other connections. 0 means no bound.
+	maxForwards  int64
+	forwardCount atomic.Int64
 	replica      storeReplica
 	membership   membership
 	budgets      retryBudgets
--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -84,6 +85,8 @@
 	}
 	e := &exchange{d: d, w: w, in: r, head: d.Protocol.ReadRequestHead(r), snapshot: d.snapshot.Load(), started: d.Clock.Now()}
 	e.target = forward.TargetOf(r)
+	// The deadline of the connection's previous response still stands.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	defer e.held.end(&d.memory)
 	if !e.matchRoute() || !e.readBody() || !e.admit() {
 		return
@@ -101,6 +104,10 @@
 	e.ctx = ctx
 	defer e.stopReadingWith(ctx)()
 	defer context.AfterFunc(r.Context(), func() { e.leftAt.Store(int64(d.Clock.Now())) })()
+	if !e.beginForward() {
+		return
+	}
+	defer d.forwardCount.Add(-1)
 	d.budgets.deposit(e.pool, e.started)
 	e.forward()
 }
--- a/internal/daemon/steer/listeners.go
+++ b/internal/daemon/steer/listeners.go
@@ -19,6 +19,8 @@
 	// headerTimeout and idleTimeout bound slow and idle callers; both are above the limits that operators configure.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
+	// otherTimeout bounds a request and its response at the listeners besides that for callers.
+	otherTimeout = 10 * time.Second
 	// maxHeader is the maximum size of a request header in bytes.
 	maxHeader = 64 << 10
 )
@@ -63,24 +65,37 @@
 
 // Run starts serving on the addresses that Open has bound.
 func (l *Listeners) Run() {
+	shares := listen.FileShares()
+	l.Daemon.maxForwards = int64(shares.Upstreams)
 	l.callers = l.server(http.HandlerFunc(l.Daemon.ServeCaller))
-	l.serve(l.callers, l.sockets[0])
+	l.serve(l.callers, l.guard("caller", shares.Callers).Listen(l.sockets[0]))
 	l.peers = &peer.Server{Steering: l.Daemon, Log: l.Daemon.Log.With("peer")}
-	l.group.Go(func() { l.peers.Run(l.sockets[1]) })
+	peers := l.guard("peer", shares.Peers).Listen(l.sockets[1])
+	l.group.Go(func() { l.peers.Run(peers) })
 	for i, o := range l.Others {
 		s := l.server(o.Handler)
+		s.ReadTimeout, s.WriteTimeout = otherTimeout, otherTimeout
 		l.others = append(l.others, s)
-		l.serve(s, l.sockets[2+i])
+		l.serve(s, l.guard(o.Address, max(1, shares.Operators/len(l.Others))).Listen(l.sockets[2+i]))
 	}
 }
 
+// guard returns a guard of a listener.
+func (l *Listeners) guard(name string, connections int) *listen.Guard {
+	g := &listen.Guard{Name: name, Connections: connections, OnClose: l.Daemon.logClosing}
+	g.Memory.Limit = max(2*peer.MaxMessage, memoryBudget(l.Daemon.Settings.Steering.MemoryMB)/2)
+	return g
+}
+
 func (l *Listeners) server(h http.Handler) *http.Server {
-	return &http.Server{
+	s := &http.Server{
 		Handler: listen.RecoverPanics(h, l.Daemon.logPanic), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		ErrorLog: l.Daemon.errorLog(),
 		// OPTIONS * is refused like any other target without a route.
 		DisableGeneralOptionsHandler: true,
 	}
+	listen.Protect(s)
+	return s
 }
 
 func (l *Listeners) serve(s *http.Server, ln net.Listener) {
@@ -115,6 +130,15 @@
 	})
 }
 
+// logClosing logs that a connection was closed to make room for others.
+func (d *Daemon) logClosing(c listen.Closing) {
+	d.event("connection closed", c.Reason, func() daisygap.Fields {
+		return daisygap.Fields{
+			"listener": c.Listener, "reason": c.Reason, "address": c.Address, "stalled_ms": c.Stalled, "held_bytes": c.Held, "connections": c.Count,
+		}
+	})
+}
+
 // MetricsHandler returns a handler that serves the metrics in the Prometheus text format.
 func MetricsHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/daemon/steer/memory.go
+++ b/internal/daemon/steer/memory.go
@@ -1,10 +1,14 @@
 package steer
 
 import (
+	"net/http"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/daisygap/daisygap"
+	"github.com/daisygap/daisygap/internal/adapter/listen"
+	"github.com/daisygap/daisygap/internal/policy/placement"
 	"github.com/daisygap/daisygap/internal/policy/quota"
 )
 
@@ -38,10 +42,10 @@
 }
 
 // take reserves n bytes more, and returns false if the budget has no room for them or the exchange has ended.
-func (r *reservation) take(b *quota.Bytes, n int64, priority int) bool {
+func (r *reservation) take(take func(n int64, priority int) bool, n int64, priority int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended || !b.Take(n, priority) {
+	if r.ended || !take(n, priority) {
 		return false
 	}
 	r.bytes += n
@@ -68,7 +72,36 @@
 
 // takeBytes reserves memory until the exchange ends.
 func (e *exchange) takeBytes(n int64) bool {
-	return e.held.take(&e.d.memory, n, e.route.Priority)
+	return e.held.take(e.d.memory.Take, n, e.route.Priority)
+}
+
+// takeBodyBytes reserves memory for a body. A body that is announced as small may use all of the budget. If nothing is left for the first
+// part of a body, the connection of another caller that doesn't go on is closed.
+func (e *exchange) takeBodyBytes(n int64) bool {
+	budget, large := e.d.memory.Take, e.in.ContentLength < 0 || e.in.ContentLength > minStreamedBody
+	if large {
+		budget = e.d.memory.TakeLarge
+	}
+	take := func() bool { return e.held.take(budget, n, e.route.Priority) }
+	conn := listen.FromContext(e.in.Context())
+	if !take() && (len(e.body) >= minStreamedBody || !conn.Reclaim(large, take)) {
+		return false
+	}
+	conn.Hold(n)
+	return true
+}
+
+// beginForward records that the request is passed to an upstream, after which its caller's connection isn't closed. It refuses the request
+// and returns false if too many requests are at upstreams.
+func (e *exchange) beginForward() bool {
+	d := e.d
+	if n := d.forwardCount.Add(1); d.maxForwards > 0 && n > d.maxForwards {
+		d.forwardCount.Add(-1)
+		e.refuse(http.StatusServiceUnavailable, daisygap.ReasonQueueFull, placement.Choice{RetryAfter: memoryRetryAfter})
+		return false
+	}
+	listen.FromContext(e.in.Context()).Pass()
+	return true
 }
 
 // reserveResponse reserves memory for the start of a response whose body has n bytes, or an unknown number if n is negative, and returns
--- a/internal/policy/quota/bytes_test.go
+++ b/internal/policy/quota/bytes_test.go
@@ -52,3 +52,14 @@
 		}
 	}
 }
+
+// TestLargeRequestsLeaveBudget guards against large requests that take the whole budget.
+func TestLargeRequestsLeaveBudget(t *testing.T) {
+	b := Bytes{Limit: 1000}
+	if !b.TakeLarge(750, 0) || b.TakeLarge(1, 0) {
+		t.Error("want 75 percent of the budget for large requests")
+	}
+	if !b.Take(250, 0) || b.Take(1, 0) {
+		t.Error("want the rest of the budget for small requests")
+	}
+}
