--- a/test/hostile_site_test.go
+++ b/test/hostile_site_test.go
@@ -45,6 +45,8 @@
 	// maxMB bounds the resident memory.
 	maxMB int
 	env   []string
+	// limit is the process's limit on descriptors.
+	limit int
 
 	cmd    *exec.Cmd
 	exited chan struct{}
@@ -91,6 +93,12 @@
 
 // steeringTarget returns a daemon on the platform with 64 MB. All its routes need a key.
 func steeringTarget(t *testing.T) (*hostileTarget, *daisygap.Settings) {
+	t.Helper()
+	return steeringTargetFor(t, 0)
+}
+
+// steeringTargetFor is steeringTarget with another limit on bodies, unless that is 0.
+func steeringTargetFor(t *testing.T, maxBody int) (*hostileTarget, *daisygap.Settings) {
 	t.Helper()
 	s := &site.Site{Regions: map[string]string{"n-1": "north"}, Routes: []site.Route{
 		{Name: "reads", Prefix: "/reads/", Kind: "safe", Pool: "stock"},
@@ -109,6 +117,9 @@
 		t.Fatal(err)
 	}
 	document["version"] = "00000064"
+	if maxBody > 0 {
+		document["limits"].(map[string]any)["max_body_bytes"] = maxBody
+	}
 	document["tenants"] = map[string]any{"columns": []string{"name", "api_keys"}, "rows": [][]any{{"acme", []string{hostileKey}}}}
 	put := func(key string, value any) {
 		data, err := json.Marshal(value)
@@ -137,7 +148,7 @@
 	p := settings.Steering
 	return &hostileTarget{
 		caller: settings.CallerAddress, others: []string{p.ReadyAddress, p.DirectoryAddress, p.MetricsAddress, settings.PeerAddress},
-		ready: "http://" + p.ReadyAddress + "/readiness", maxMB: 64,
+		ready: "http://" + p.ReadyAddress + "/readiness", maxMB: 64, limit: hostileFiles,
 		head: "Host: " + site.Host + "\r\nAuthorization: Bearer " + hostileKey + "\r\nDeadline-Milliseconds: 2000\r\n",
 	}, settings
 }
@@ -188,7 +199,7 @@
 	}
 	return &hostileTarget{
 		caller: settings.CallerAddress, others: []string{settings.ForwardAddress, settings.PeerAddress, settings.OperatorAddress},
-		ready: "http://" + settings.OperatorAddress + "/ready", maxMB: 96, env: []string{"GOMEMLIMIT=64MiB", "GOGC=25"},
+		ready: "http://" + settings.OperatorAddress + "/ready", maxMB: 96, limit: hostileFiles, env: []string{"GOMEMLIMIT=64MiB", "GOGC=25"},
 		head: "Host: a.example\r\nDaisygap-Deadline: 2000\r\n",
 	}, settings
 }
@@ -210,7 +221,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" serve --settings "$1"`, hostileFiles), binary, file)
+	h.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" serve --settings "$1"`, h.limit), binary, file)
 	h.cmd.Stdout, h.cmd.Stderr, h.cmd.Env = log, log, append(os.Environ(), h.env...)
 	if err := h.cmd.Start(); err != nil {
 		t.Fatal(err)
