steer: a streamed body over the limit gets 413

Cause: a body of unknown length is streamed from 1 MiB on. When it exceeded the limit, the transport's error was taken for a failure of the server: the caller got 502, and the server was avoided and suspected of a crash.

Change: the end of the body's reading is remembered; the caller gets 413, and the attempt counts as canceled.

TestEarlyResponseToUpload and the 64 KiB before a slot passed before the change too.

--- a/internal/daemon/steer/attempt.go
+++ b/internal/daemon/steer/attempt.go
@@ -77,7 +77,7 @@
 	res, err := e.d.Upstream.Send(httptrace.WithClientTrace(ctx, conn.trace()), e.upstreamRequest(c), false)
 	if err != nil {
 		a.fail(err)
-		a.broken = a.state == outcomeUnknown && !conn.responded.Load() && ctx.Err() == nil && !isTimeout(err)
+		a.broken = a.state == outcomeUnknown && !conn.responded.Load() && ctx.Err() == nil && !isTimeout(err) && !e.bodyFailed.Load()
 	} else {
 		a.res = res
 		e.readResponse(a)
@@ -272,7 +272,7 @@
 		o.KnowsRate, o.NamesRate, o.Rate, o.SentAt = a.res != nil && !a.head.RateUnknown, a.head.NamesRate, a.head.Rate, a.started
 	}
 	switch {
-	case a.superseded || e.in.Context().Err() != nil && (e.route.Idempotent || a.state != complete):
+	case a.superseded, a.state == outcomeUnknown && e.bodyFailed.Load(), e.in.Context().Err() != nil && (e.route.Idempotent || a.state != complete):
 		o.Result = placement.Canceled
 	case a.state == unreachable && e.ctx.Err() != nil:
 		o.Result = placement.Canceled
--- a/internal/daemon/steer/body.go
+++ b/internal/daemon/steer/body.go
@@ -121,6 +121,10 @@
 	n, err := r.e.in.Body.Read(p)
 	if errors.Is(err, io.EOF) {
 		r.e.endBody()
+	} else if err != nil {
+		var tooLarge *http.MaxBytesError
+		r.e.bodyTooLarge.Store(errors.As(err, &tooLarge))
+		r.e.bodyFailed.Store(true)
 	}
 	return n, err
 }
--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -49,6 +49,9 @@
 	// bodyRead is set once the whole body was read, and readingStopped if the reading of a streamed one was ended.
 	bodyRead       atomic.Bool
 	readingStopped atomic.Bool
+	// bodyFailed is set if a streamed body couldn't be read to its end, and bodyTooLarge if that was for its size.
+	bodyFailed   atomic.Bool
+	bodyTooLarge atomic.Bool
 
 	// held is the memory for the bodies of the request and its responses.
 	held reservation
@@ -359,6 +362,8 @@
 		e.abort("caller left", nil)
 	case e.fallback != nil:
 		e.deliver(e.fallback)
+	case e.bodyTooLarge.Load():
+		e.refuse(http.StatusRequestEntityTooLarge, daisygap.ReasonTooLarge, c)
 	case e.possibleRuns > 0 && e.ctx.Err() != nil:
 		e.refuse(http.StatusGatewayTimeout, daisygap.ReasonExpired, c)
 	case e.possibleRuns > 0:
