--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -48,6 +49,9 @@
 	// bodyRead is set once the whole body was read, and readingStopped if the reading of a streamed one was ended.
 	bodyRead       atomic.Bool
 	readingStopped atomic.Bool
+	// bodyFailed is set if a streamed body couldn't be read to its end, and bodyTooLarge if that was for its size.
+	bodyFailed   atomic.Bool
+	bodyTooLarge atomic.Bool
 
 	// held is the memory for the bodies of the request and its responses.
 	held reservation
@@ -86,6 +90,8 @@
 	}
 	e := &exchange{d: d, w: w, in: r, head: d.Protocol.ReadRequestHead(r), snapshot: d.snapshot.Load(), started: d.Clock.Now()}
 	e.target = forward.TargetOf(r)
+	// The deadline of the connection's previous response still stands.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	defer e.held.end(&d.memory)
 	if !e.matchRoute() || !e.readBody() || !e.admit() {
 		return
@@ -107,6 +113,10 @@
 	e.ctx = ctx
 	defer e.stopReadingWith(ctx)()
 	defer context.AfterFunc(r.Context(), func() { e.leftAt.Store(int64(d.Clock.Now())) })()
+	if !e.beginForward() {
+		return
+	}
+	defer d.forwardCount.Add(-1)
 	d.budgets.deposit(e.pool, e.started)
 	e.forward()
 }
@@ -338,6 +348,8 @@
 		e.abort("caller left", nil)
 	case e.fallback != nil:
 		e.deliver(e.fallback)
+	case e.bodyTooLarge.Load():
+		e.refuse(http.StatusRequestEntityTooLarge, daisygap.ReasonTooLarge, c)
 	case e.possibleRuns > 0 && e.ctx.Err() != nil:
 		e.refuse(http.StatusGatewayTimeout, daisygap.ReasonExpired, c)
 	case e.possibleRuns > 0:
