--- a/internal/policy/configuration/check.go
+++ b/internal/policy/configuration/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/base64"
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"sort"
@@ -19,9 +20,7 @@
 // Check validates a configuration, including the references between its sections. It returns the first violation as a
 // FieldError.
 func Check(c *daisygap.Configuration) error {
-	for _, rule := range []func(*daisygap.Configuration) error{
-		checkLookup, checkRegions, checkDomains, checkLinks, checkKinds, checkGroups, checkUpstreams, checkSites, checkDrains, checkKeys,
-	} {
+	for _, rule := range rules {
 		if err := rule(c); err != nil {
 			return err
 		}
@@ -29,6 +28,39 @@
 	return nil
 }
 
+// rules check one section each.
+var rules = []func(*daisygap.Configuration) error{
+	checkLookup, checkRegions, checkDomains, checkLinks, checkKinds, checkGroups, checkUpstreams, checkSites, checkDrains, checkKeys,
+}
+
+// Violations validates a complete configuration document like Parse, but returns the first violation of each section.
+func Violations(file string, data []byte) []error {
+	_, err := Parse(file, data, 1)
+	if err == nil {
+		return nil
+	}
+	_, rest, splitErr := splitBlocks(data)
+	if splitErr != nil {
+		return []error{err}
+	}
+	// A document that was decoded can be encoded.
+	document, _ := json.Marshal(rest)
+	config, decodeErr := decode(document)
+	if decodeErr != nil {
+		return []error{err}
+	}
+	var list []error
+	for _, rule := range rules {
+		if err := rule(config); err != nil {
+			list = append(list, locate(file, data, err))
+		}
+	}
+	if len(list) == 0 {
+		return []error{err}
+	}
+	return list
+}
+
 func sortedNames[V any](m map[string]V) []string {
 	list := make([]string, 0, len(m))
 	for name := range m {
