check: the version in force as the store or config show returns it

Cause: the version in force comes from the store's response or from config show, which masks signing keys and leaves out client blocks.

Customers whose regions have no registered upstream for a route are reported. Values of other columns that equal a key written as a number are left out; FuzzCheck runs both formats.

--- a/internal/command/check/check.go
+++ b/internal/command/check/check.go
@@ -40,7 +40,7 @@
 
 // SetFlags defines the flags.
 func (c *Command) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.against, "against", "", "file with the configuration in force, to list the differences from")
+	f.StringVar(&c.against, "against", "", "file with the configuration in force, also as the store or config show returns it, to list the differences from")
 	f.StringVar(&c.servers, "servers", "", "file with the store's listing of servers/, to check against the registered upstreams")
 	f.BoolVar(&c.asJSON, "json", false, "write the results as JSON")
 }
@@ -86,6 +86,7 @@
 		if in.againstData, err = os.ReadFile(c.against); err != nil {
 			return nil, daisygap.WrapError("read", c.against, err)
 		}
+		in.againstData = unwrap(in.againstData)
 	}
 	if c.servers != "" {
 		data, err := os.ReadFile(c.servers)
--- a/internal/command/check/check_test.go
+++ b/internal/command/check/check_test.go
@@ -19,6 +19,7 @@
 	"golang.org/x/tools/txtar"
 
 	"github.com/daisygap/daisygap/internal/command/term"
+	"github.com/daisygap/daisygap/internal/policy/validation"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -204,6 +205,24 @@
 	t.Logf("%d runs, %d with the key left out", runs, redacted)
 }
 
+// TestNumericKeysAreNeverShown guards against a key that was written as a number, which another column may show as its value.
+func TestNumericKeysAreNeverShown(t *testing.T) {
+	t.Chdir(t.TempDir())
+	document := func(priority, keys string) string {
+		return platformDocument(`"2"`, `{}`, `{}`,
+			`{"columns":["name","api_keys","priority"],"rows":[["a",["k"],`+priority+`],["b",`+keys+`,1]]}`, `{"max_body_bytes":`+priority+`}`)
+	}
+	write(t, "force.json", document("5", `["k2"]`))
+	for _, keys := range []string{`[98765432]`, `98765432`, `["98765432"]`} {
+		write(t, "next.json", document("98765432", keys))
+		for _, args := range [][]string{{"next.json"}, {"--against", "force.json", "next.json"}, {"--json", "--against", "force.json", "next.json"}} {
+			if _, stdout, stderr := run(args...); strings.Contains(stdout+stderr, "98765432") {
+				t.Errorf("check %v with keys %s shows the key:\n%s%s", args, keys, stdout, stderr)
+			}
+		}
+	}
+}
+
 // shows reports whether an output contains a secret as it is, quoted, or in JSON.
 func shows(output, secret string) bool {
 	plain := strings.NewReplacer(`\"`, `"`, `\\`, `\`, `\u0026`, `&`, `\u003c`, `<`, `\u003e`, `>`)
@@ -223,6 +242,28 @@
 	}
 }
 
+// FuzzCheck guards against a panic on a file of any content, in both formats and also as the version in force.
+func FuzzCheck(f *testing.F) {
+	archives, err := filepath.Glob("testdata/*.txtar")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, name := range archives {
+		archive, err := txtar.ParseFile(name)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(archive.Files[0].Data, archive.Files[len(archive.Files)-2].Data)
+	}
+	f.Fuzz(func(_ *testing.T, first, second []byte) {
+		domains := map[string]string{"north-a": "north"}
+		for _, facts := range []validation.Facts{{}, {Domains: domains, HasInstances: true}} {
+			in := &input{against: "first.json", againstData: unwrap(first), facts: facts}
+			in.check(inputFile{name: "second.json", data: second})
+		}
+	})
+}
+
 // BenchmarkCustomers checks a configuration of 100,000 customers, alone and against the version in force, of which each tenth customer has
 // another key, and one that gives a warning for each customer.
 func BenchmarkCustomers(b *testing.B) {
--- a/internal/policy/validation/changes.go
+++ b/internal/policy/validation/changes.go
@@ -204,7 +204,11 @@
 	return fmt.Sprintf("%s (%d added, %d removed)", text, added, removed)
 }
 
-// CompareEntry returns the differences between two valid documents of the entry daemons' configuration. Signing keys are never shown.
+// maskedKey is the value that daemons show instead of a signing key.
+const maskedKey = "(hidden)"
+
+// CompareEntry returns the differences between two documents of the entry daemons' configuration. Signing keys are never shown, and those that
+// daemons have masked count as equal. Client blocks, which daemons don't show, are compared only if the first document has them.
 func CompareEntry(before, after []byte) ([]daisygap.ConfigChange, error) {
 	old, err := flatten(before)
 	if err != nil {
@@ -214,13 +218,15 @@
 	if err != nil {
 		return nil, err
 	}
+	hasBlocks := slices.ContainsFunc(slices.Collect(maps.Keys(old)), func(p [3]string) bool { return p[0] == "blocks" })
 	all := maps.Clone(old)
 	maps.Copy(all, next)
 	paths := slices.Collect(maps.Keys(all))
 	sort.Slice(paths, func(i, j int) bool { return slices.Compare(paths[i][:], paths[j][:]) < 0 })
 	var changes []daisygap.ConfigChange
 	for _, p := range paths {
-		if old[p] == next[p] {
+		masked := p[0] == "keys" && old[p] == maskedKey && next[p] != ""
+		if old[p] == next[p] || masked || p[0] == "blocks" && !hasBlocks {
 			continue
 		}
 		change := daisygap.ConfigChange{Table: p[0], Name: p[1], Field: p[2], Old: old[p], New: next[p]}
--- a/internal/policy/validation/customers.go
+++ b/internal/policy/validation/customers.go
@@ -22,7 +22,7 @@
 		return
 	}
 	names := make(map[string]bool, len(s.Customers))
-	forbidden := make(map[string]string)
+	checked := make(map[string][]regionFinding)
 	anyKey := false
 	for i := range s.Customers {
 		u := &s.Customers[i]
@@ -35,13 +35,13 @@
 		if len(u.AllowedRegions) > 0 {
 			// Customers with the same regions share the result, so that the time doesn't grow with customers times routes.
 			key := strings.Join(u.AllowedRegions, "\x00")
-			text, known := forbidden[key]
+			list, known := checked[key]
 			if !known {
-				text = c.forbiddenRoutes(u)
-				forbidden[key] = text
+				list = c.checkCustomerRegions(u)
+				checked[key] = list
 			}
-			if text != "" {
-				c.warn("empty_regions", daisygap.TableCustomers, u.Name, "regions", "%s", text)
+			for _, f := range list {
+				c.warn(f.rule, daisygap.TableCustomers, u.Name, "regions", "%s", f.text)
 			}
 		}
 	}
@@ -97,20 +97,47 @@
 	}
 }
 
-// forbiddenRoutes describes the routes on which no region is allowed to both the route and the customer. It returns "" if there are none.
-func (c *checker) forbiddenRoutes(u *daisygap.Customer) string {
-	var names []string
+// regionFinding is a finding that all customers with the same regions have.
+type regionFinding struct {
+	rule string
+	text string
+}
+
+// checkCustomerRegions finds the routes on which no region is allowed to both the route and the customer, and those without an upstream in such
+// a region.
+func (c *checker) checkCustomerRegions(u *daisygap.Customer) []regionFinding {
+	var forbidden, unserved []string
 	for i := range c.config.Routes {
 		r := &c.config.Routes[i]
-		if len(r.AllowedRegions) > 0 && !slices.ContainsFunc(r.AllowedRegions, func(region string) bool { return slices.Contains(u.AllowedRegions, region) }) {
-			names = append(names, r.Name)
+		regions := u.AllowedRegions
+		if len(r.AllowedRegions) > 0 {
+			regions = slices.DeleteFunc(slices.Clone(r.AllowedRegions), func(region string) bool { return !slices.Contains(u.AllowedRegions, region) })
+		}
+		switch {
+		case len(regions) == 0:
+			forbidden = append(forbidden, r.Name)
+		case c.facts.HasInstances && !c.isServed(r, regions):
+			unserved = append(unserved, r.Name)
 		}
 	}
-	if len(names) == 0 {
-		return ""
+	var list []regionFinding
+	if len(forbidden) > 0 {
+		list = append(list, regionFinding{"empty_regions", fmt.Sprintf(
+			"requests are refused with forbidden_region on %d of %d routes, which allow none of the customer's regions: %s",
+			len(forbidden), len(c.config.Routes), shorten(forbidden),
+		)})
 	}
-	return fmt.Sprintf("requests are refused with forbidden_region on %d of %d routes, which allow none of the customer's regions: %s",
-		len(names), len(c.config.Routes), shorten(names))
+	if len(unserved) > 0 {
+		list = append(list, regionFinding{"no_upstreams", fmt.Sprintf(
+			"no upstream is registered in the customer's regions for %d of %d routes: %s", len(unserved), len(c.config.Routes), shorten(unserved),
+		)})
+	}
+	return list
+}
+
+// isServed reports whether a service of the route has an upstream in one of the regions.
+func (c *checker) isServed(r *daisygap.Route, regions []string) bool {
+	return slices.ContainsFunc(r.Split, func(p daisygap.PoolWeight) bool { return c.countUpstreams(p.Pool, regions) > 0 })
 }
 
 // shorten joins the first names and says how many are left out.
--- a/internal/policy/validation/validation_test.go
+++ b/internal/policy/validation/validation_test.go
@@ -97,6 +97,36 @@
 	}
 }
 
+// TestCustomersWithoutUpstreams guards against a customer whose regions have no upstream for a route that others can use.
+func TestCustomersWithoutUpstreams(t *testing.T) {
+	route := func(name, pool string, regions ...string) daisygap.Route {
+		return daisygap.Route{
+			Name: name, Host: "a", Prefix: "/" + name + "/", Timeout: 1000, TargetLatency: 200, MaxAttempts: 1, AllowedRegions: regions,
+			Split: []daisygap.PoolWeight{{Pool: pool, Weight: 1}},
+		}
+	}
+	keys := func(key daisygap.CustomerKey) []daisygap.CustomerKey { return []daisygap.CustomerKey{key} }
+	config := &daisygap.SteeringConfig{
+		Routes: []daisygap.Route{route("all", "p"), route("north", "p", "north"), route("south", "q", "south", "north")},
+		Pools:  map[string]daisygap.PoolLimits{"p": {}, "q": {}}, NeedsKeys: true,
+		Customers: []daisygap.Customer{
+			{Name: "everywhere", Keys: keys("1")},
+			{Name: "in-north", Keys: keys("2"), AllowedRegions: []string{"north"}},
+			{Name: "in-south", Keys: keys("3"), AllowedRegions: []string{"south"}},
+		},
+	}
+	facts := Facts{
+		Domains:   map[string]string{"n-1": "north", "s-1": "south"},
+		Instances: []*daisygap.Instance{{ID: "1", Pool: "p", Domain: "n-1"}, {ID: "2", Pool: "q", Domain: "s-1"}}, HasInstances: true,
+	}
+	want := []string{
+		"warning no_upstreams customers.in-north.regions", "warning empty_regions customers.in-south.regions", "warning no_upstreams customers.in-south.regions",
+	}
+	if diff := cmp.Diff(want, rules(CheckSteering(config, facts))); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
 // TestKeyChangesAreCounted guards against a replaced key that the comparison doesn't show, and against a shown key.
 func TestKeyChangesAreCounted(t *testing.T) {
 	customer := func(keys ...daisygap.CustomerKey) *daisygap.SteeringConfig {
