--- a/internal/command/check/format.go
+++ b/internal/command/check/format.go
@@ -35,6 +35,10 @@
 		_, document, _ := bytes.Cut(data, []byte("\n"))
 		return document
 	}
+	if !bytes.Contains(data, []byte(`"document"`)) {
+		// Decoding a file of 100,000 customers once more takes a twentieth of a second.
+		return data
+	}
 	var shown struct {
 		Document json.RawMessage `json:"document"`
 	}
--- a/internal/command/check/report.go
+++ b/internal/command/check/report.go
@@ -142,7 +142,9 @@
 	errorCount, warnings := len(r.failures)+r.count(daisygap.SeverityError), r.count(daisygap.SeverityWarning)
 	switch {
 	case errorCount > 0:
-	case warnings > 0:
+	case warnings == 1:
+		c.Output.Printf("%s: %s, no error, 1 warning", r.File, r.Type)
+	case warnings > 1:
 		c.Output.Printf("%s: %s, no error, %d warnings", r.File, r.Type, warnings)
 	default:
 		c.Output.Printf("%s: %s, no fault found", r.File, r.Type)
