validation: hosts of matches are compared without case

Cause: daemons compare hosts without case, so that a match with the same host in other case is unreachable too.

Change: the rule unreachable_match lowers hosts.

Measured: go test -race of validation and check passes.

--- a/internal/policy/validation/entry.go
+++ b/internal/policy/validation/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/daisygap/daisygap"
 )
@@ -53,6 +54,7 @@
 	for _, name := range sortedKeys(config.Kinds) {
 		k := config.Kinds[name]
 		for _, m := range k.Match {
+			m.Host = strings.ToLower(m.Host)
 			// Equally specific matches go to the first kind in alphabetical order.
 			if other, exists := owner[m]; exists && other != name {
 				c.warn("unreachable_match", "kinds", name, "match", "the match of path %q can never apply: kind %q before it has the same one", m.Path, other)
--- a/internal/policy/validation/validation_test.go
+++ b/internal/policy/validation/validation_test.go
@@ -127,6 +127,21 @@
 	}
 }
 
+// TestHostsOfMatchesIgnoreCase guards against a match that is unreachable because of another one with the same host in other case.
+func TestHostsOfMatchesIgnoreCase(t *testing.T) {
+	kind := func(host, method string) daisygap.Kind {
+		return daisygap.Kind{TargetLatency: 500, Match: []daisygap.Match{{Host: host, Method: method, Path: "/"}}}
+	}
+	config := &daisygap.Configuration{
+		Kinds:     map[string]daisygap.Kind{"a": kind("h.example", ""), "b": kind("H.example", ""), "c": kind("h.example", "GET")},
+		Groups:    map[string]daisygap.Group{"g": {Kinds: []string{"a", "b", "c"}}},
+		Upstreams: map[string]daisygap.Upstream{"u": {Group: "g", Domain: "d"}},
+	}
+	if diff := cmp.Diff([]string{"warning unreachable_match kinds.b.match"}, rules(CheckEntry(config))); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
 // TestKeyChangesAreCounted guards against a replaced key that the comparison doesn't show, and against a shown key.
 func TestKeyChangesAreCounted(t *testing.T) {
 	customer := func(keys ...daisygap.CustomerKey) *daisygap.SteeringConfig {
