placement: speeds of upstreams relative to their pool

Cause: upstreams of a pool differ in speed and slow down before they are full, but objects were distributed evenly, so that a slow upstream's queue filled while fast ones were idle. A daemon sees one upstream every few seconds, too rarely to tell slowness from noise.

Change: speed.go keeps decaying means of the service times relative to the usual time of the route and of owners or others, for up to half of the slots in use and for more. Daemons mix these means pairwise (daisygap.SpeedEstimate). While an upstream's factor is outside 0.8 to 1.25 it weighs in the hashing of objects, in the expected service time and in the wait.

--- a/gossip.go
+++ b/gossip.go
@@ -76,6 +76,21 @@
 	Age  Millis `json:"a"`
 }
 
+// SpeedEstimate is how long work takes at an upstream relative to its pool, by the observations of several daemons.
+type SpeedEstimate struct {
+	// Upstream is the truncated hash of the upstream's name, and StartTime the Unix time of its process's start in milliseconds.
+	Upstream  uint32 `json:"u"`
+	StartTime int64  `json:"s,omitempty"`
+	// Low is the mean logarithm of the time factor in thousandths while up to half of the slots are in use, and High with more in use.
+	Low  int `json:"l,omitempty"`
+	High int `json:"h,omitempty"`
+	// LowWeight and HighWeight are the numbers of observations in hundredths. Older ones count less.
+	LowWeight  int `json:"w,omitempty"`
+	HighWeight int `json:"v,omitempty"`
+	// Age is the time since the newest observation.
+	Age Millis `json:"a,omitempty"`
+}
+
 // RateReport is what a response of an upstream said about the rate of requests that it takes from all daemons together.
 type RateReport struct {
 	// Upstream is the truncated hash of the upstream's name, and StartTime the Unix time of its process's start in milliseconds.
@@ -127,6 +142,8 @@
 	Loads      []LoadObservation `json:"l,omitempty"`
 	Rates      []RateReport      `json:"t,omitempty"`
 	Restarts   []RestartReport   `json:"e,omitempty"`
+	// Speeds lists upstreams that may not be even with their pools.
+	Speeds []SpeedEstimate `json:"v,omitempty"`
 }
 
 // StoreUpdate transfers entries of the store from one daemon to another: the changes after a revision, or a full copy.
--- a/internal/policy/placement/fleet.go
+++ b/internal/policy/placement/fleet.go
@@ -71,6 +71,15 @@
 	f.daemons.Store(&names)
 }
 
+// daemonCount returns the number of live daemons, including this one.
+func (f *Fleet) daemonCount() int {
+	names := f.daemons.Load()
+	if names == nil {
+		return 1
+	}
+	return len(*names)
+}
+
 // Replace sets the pools and their instances. Instances that are draining or in an evacuated domain get no requests.
 func (f *Fleet) Replace(limits map[string]daisygap.PoolLimits, instances []daisygap.Instance, evacuated map[string]bool, now daisygap.Millis) {
 	f.mu.Lock()
@@ -106,6 +115,7 @@
 			p = &Pool{
 				Region: f.Region, Domain: f.Domain, coldShareOf: f.coldShareOf, coldRankOf: f.coldRankOf, check: f.Check, shifts: &f.shifts, observations: &f.observations,
 				largeLocalShare: 1, notices: &f.notices, rateNews: &f.rateNews, seed: xxhash.Sum64String(f.Name),
+				daemonCount: f.daemonCount,
 			}
 			if h, known := f.hint.Pools[name]; known {
 				p.applyHint(h)
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -283,6 +283,24 @@
 	}
 }
 
+// BenchmarkChooseUneven measures a choice while a tenth of the upstreams are slow.
+func BenchmarkChooseUneven(b *testing.B) {
+	f := newFleet("a", "n-1")
+	f.Replace(limits, instances("n-1", 240, 6), nil, 0)
+	p, r := f.Pool("p"), reads()
+	for i := range 24 {
+		p.upstreams[10*i].speed.factor, p.upstreams[10*i].speed.weight = 2, 0.5
+	}
+	p.speed.uneven, p.speed.weighted = true, true
+	b.ReportAllocs()
+	object := uint64(0)
+	for b.Loop() {
+		object++
+		c := p.Choose(query(r, object%100), 1)
+		p.Done(c, "r", Outcome{Result: Answered, ResponseTime: 1}, 1)
+	}
+}
+
 // TestQueueingDoesNotRaiseServiceTime guards against counting time in a queue as service time. An upstream whose queue is longer
 // than estimated answers late, and a raised service time would make all its later estimates wrong.
 func TestQueueingDoesNotRaiseServiceTime(t *testing.T) {
--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -148,6 +148,9 @@
 	// roundTrips holds the round trip time to each region in ms, and serviceTimes the service times of each route.
 	roundTrips   map[string]float64
 	serviceTimes map[string]*serviceTimes
+	speed        poolSpeed
+	// daemonCount returns the number of live daemons.
+	daemonCount func() int
 }
 
 // choiceBuffers holds the lists that a choice needs, so that it allocates none.
@@ -351,7 +354,7 @@
 	case Unreachable:
 		p.recordUnreachable(u, o.Refused, now)
 	case Answered:
-		p.recordSuccess(c, route, o)
+		p.recordSuccess(c, route, o, now)
 		u.failureRatio -= failureWeight * u.failureRatio
 	case Failed:
 		u.failureRatio += failureWeight * (1 - u.failureRatio)
@@ -370,7 +373,7 @@
 }
 
 // recordSuccess updates the service times.
-func (p *Pool) recordSuccess(c Choice, route string, o Outcome) {
+func (p *Pool) recordSuccess(c Choice, route string, o Outcome, now daisygap.Millis) {
 	u := c.Upstream
 	serviceTime := max(1, float64(o.ResponseTime)-c.Wait-p.roundTrip(u))
 	// If the wait was underestimated, the rest of it looks like service time. So the mean may only decrease for requests
@@ -383,8 +386,10 @@
 	t := p.serviceTimesOf(route)
 	if c.isOwner {
 		t.hit.record(serviceTime, maybeQueued)
+		p.recordSpeed(c, &t.hitReference, o, now)
 	} else {
 		t.miss.record(serviceTime, maybeQueued)
+		p.recordSpeed(c, &t.missReference, o, now)
 	}
 }
 
--- a/internal/policy/placement/rate.go
+++ b/internal/policy/placement/rate.go
@@ -91,9 +91,9 @@
 // usableSlots returns the number of slots that the upstream's rate can fill.
 func (u *Upstream) usableSlots() float64 {
 	if !u.limit.named || u.meanServiceTime == 0 {
-		return float64(u.Slots)
+		return u.effectiveSlots()
 	}
-	return min(float64(u.Slots), max(u.limit.rate, minRate)*u.meanServiceTime/1_000)
+	return min(u.effectiveSlots(), max(u.limit.rate, minRate)*u.meanServiceTime/1_000)
 }
 
 // permitFrom returns the time from which on this daemon may send the upstream a request, or ask for a permit.
--- a/internal/policy/placement/search.go
+++ b/internal/policy/placement/search.go
@@ -122,9 +122,15 @@
 // prefers reports whether a comes before b for the query: by affinity, or by load if the query has no affinity.
 func (s *search) prefers(a, b *Upstream) bool {
 	if s.q.HasObject && s.q.Route.Affinity {
+		if s.p.speed.weighted {
+			return weightedAffinity(a, b, s.q.ObjectHash)
+		}
 		return a.score(s.q.ObjectHash) > b.score(s.q.ObjectHash)
 	}
 	la, lb := a.load(s.now)/float64(a.Slots), b.load(s.now)/float64(b.Slots)
+	if s.p.speed.uneven {
+		la, lb = a.occupancy(s.now), b.occupancy(s.now)
+	}
 	if la != lb {
 		return la < lb
 	}
--- /dev/null
+++ b/internal/policy/placement/speedshare.go
@@ -0,0 +1,120 @@
+package placement
+
+import (
+	"math"
+
+	"github.com/daisygap/daisygap"
+)
+
+// speedScale and weightScale convert the values of a SpeedEstimate.
+const (
+	speedScale  = 1_000
+	weightScale = 1_000
+)
+
+// leastEvenPerMessage is the number of the least even upstreams whose estimates are in every message.
+const leastEvenPerMessage = 12
+
+// RecentSpeeds returns estimates of the speeds of upstreams that aren't even with their pools, to be sent to other daemons.
+func (f *Fleet) RecentSpeeds(now daisygap.Millis) []daisygap.SpeedEstimate {
+	var list []daisygap.SpeedEstimate
+	for _, p := range f.Pools() {
+		list = p.appendSpeeds(list, now)
+	}
+	return list
+}
+
+// appendSpeeds appends estimates up to maxSpeedsPerMessage: those of the least even upstreams, and the others in turn.
+func (p *Pool) appendSpeeds(list []daisygap.SpeedEstimate, now daisygap.Millis) []daisygap.SpeedEstimate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ps := &p.speed
+	ps.message++
+	for i := range 2 * len(ps.shared) {
+		if len(list) >= maxSpeedsPerMessage {
+			break
+		}
+		n := i
+		if i >= leastEvenPerMessage {
+			ps.next = (ps.next + 1) % len(ps.shared)
+			n = ps.next
+		}
+		if n >= len(ps.shared) {
+			continue
+		}
+		u := ps.shared[n]
+		if s := &u.speed; s.message != ps.message && now-s.observedAt <= maxSpeedAge && s.low.weight+s.high.weight >= minSpeedWeight {
+			s.message = ps.message
+			list = append(list, p.estimateOf(u, now))
+		}
+	}
+	return list
+}
+
+func (p *Pool) estimateOf(u *Upstream, now daisygap.Millis) daisygap.SpeedEstimate {
+	s := &u.speed
+	return daisygap.SpeedEstimate{
+		Upstream: u.shortID(), StartTime: u.StartTime, Age: now - s.observedAt,
+		Low: toScale(s.low.mean()-p.speed.low, speedScale), LowWeight: toScale(s.low.weight, weightScale),
+		High: toScale(s.high.mean()-p.speed.high, speedScale), HighWeight: toScale(s.high.weight, weightScale),
+	}
+}
+
+func toScale(x, scale float64) int {
+	return int(math.Round(x * scale))
+}
+
+// MergeSpeeds mixes another daemon's estimates with this daemon's, and returns the results for that daemon to adopt. Estimates of other
+// processes, old ones and invalid ones are ignored.
+func (f *Fleet) MergeSpeeds(list []daisygap.SpeedEstimate, now daisygap.Millis) []daisygap.SpeedEstimate {
+	var results []daisygap.SpeedEstimate
+	f.eachSpeed(list, func(p *Pool, u *Upstream, e daisygap.SpeedEstimate) {
+		p.mergeSpeed(u, e, now, (*speedMean).mix)
+		if max(math.Abs(float64(e.Low)), math.Abs(float64(e.High))) >= sharedDeviation*speedScale {
+			u.speed.sharedUntil = now + sharedPeriod
+		}
+		results = append(results, p.estimateOf(u, now))
+	})
+	return results
+}
+
+// AdoptSpeeds replaces this daemon's estimates by those in the reply to them.
+func (f *Fleet) AdoptSpeeds(list []daisygap.SpeedEstimate, now daisygap.Millis) {
+	f.eachSpeed(list, func(p *Pool, u *Upstream, e daisygap.SpeedEstimate) {
+		p.mergeSpeed(u, e, now, (*speedMean).adopt)
+	})
+}
+
+// eachSpeed calls a function with each valid estimate and its upstream, under the lock of its pool.
+func (f *Fleet) eachSpeed(list []daisygap.SpeedEstimate, do func(*Pool, *Upstream, daisygap.SpeedEstimate)) {
+	known := f.byShortID.Load()
+	if known == nil {
+		return
+	}
+	for _, e := range list[:min(len(list), maxSpeedsPerMessage)] {
+		u := (*known)[e.Upstream]
+		if u == nil || u.StartTime != e.StartTime || e.Age < 0 || e.Age > maxSpeedAge || !isPlausible(e) {
+			continue
+		}
+		if p := f.Pool(u.Pool); p != nil {
+			p.mu.Lock()
+			do(p, u, e)
+			p.mu.Unlock()
+		}
+	}
+}
+
+// isPlausible reports whether an estimate's values are some that a daemon can send.
+func isPlausible(e daisygap.SpeedEstimate) bool {
+	const maxMean, maxWeight = 8 * speedScale, 1_000 * weightScale
+	return min(e.Low, e.High) >= -maxMean && max(e.Low, e.High) <= maxMean &&
+		min(e.LowWeight, e.HighWeight) >= 0 && max(e.LowWeight, e.HighWeight) <= maxWeight
+}
+
+func (p *Pool) mergeSpeed(u *Upstream, e daisygap.SpeedEstimate, now daisygap.Millis, merge func(m *speedMean, mean, weight float64)) {
+	s := &u.speed
+	merge(&s.low, p.speed.low+float64(e.Low)/speedScale, float64(e.LowWeight)/weightScale)
+	merge(&s.high, p.speed.high+float64(e.High)/speedScale, float64(e.HighWeight)/weightScale)
+	s.observedAt = max(s.observedAt, now-e.Age)
+	s.merges++
+}
--- a/internal/policy/placement/times.go
+++ b/internal/policy/placement/times.go
@@ -46,6 +46,9 @@
 	// hit is for requests at the object's owner, which has usually served the object lately, and miss for all others.
 	hit  recentTimes
 	miss recentTimes
+	// hitReference and missReference are the usual times that the speeds of upstreams are compared with.
+	hitReference  reference
+	missReference reference
 	// target is the route's target latency.
 	target float64
 	// hedgeGain is the moving average of the fraction of second copies that were answered before the first copy, and
--- a/internal/policy/placement/upstream.go
+++ b/internal/policy/placement/upstream.go
@@ -81,6 +81,7 @@
 	restart         restart
 	// brokenCheckAt is the time of the last status check because a connection broke.
 	brokenCheckAt daisygap.Millis
+	speed         speed
 }
 
 // coldRank is the number of daemons of a set that come before this one in the order in which they send to a cold upstream.
@@ -90,7 +91,7 @@
 }
 
 func newUpstream(i daisygap.Instance, region string, now daisygap.Millis) *Upstream {
-	u := &Upstream{Instance: i, Region: region, hash: xxhash.Sum64String(i.ID)}
+	u := &Upstream{Instance: i, Region: region, hash: xxhash.Sum64String(i.ID), speed: evenSpeed()}
 	u.setCold(i.ColdRemaining, now)
 	return u
 }
@@ -113,10 +114,8 @@
 // wait returns the estimated time in ms that a new request waits for a slot. The given service time is used until the upstream's
 // own is known.
 func (u *Upstream) wait(now daisygap.Millis, serviceTime float64) float64 {
-	if u.meanServiceTime > 0 {
-		serviceTime = u.meanServiceTime
-	}
-	return max(0, u.load(now)+1-float64(u.Slots)) / float64(u.Slots) * serviceTime
+	slots := u.effectiveSlots()
+	return max(0, u.load(now)+1-slots) / slots * u.speed.adjust(u.meanServiceTime, serviceTime)
 }
 
 func (u *Upstream) isCold(now daisygap.Millis) bool {
@@ -134,12 +133,18 @@
 	u.slowness, u.slownessAt = l.Slowness, now
 }
 
-// currentSlowness returns how long work takes relative to the usual time, or 1 if no fresh report says so.
+// currentSlowness returns how long work takes relative to the usual time by a fresh report or by the upstream's factor. Their product
+// would count a slowness twice that the upstream reports all the time, since the factor contains it.
 func (u *Upstream) currentSlowness(now daisygap.Millis) float64 {
-	if u.slowness <= 0 || now-u.slownessAt > maxSlownessAge {
-		return 1
+	switch {
+	case u.slowness <= 0 || now-u.slownessAt > maxSlownessAge:
+		return u.speed.factor
+	case u.speed.factor == 1:
+		return u.slowness
+	case u.slowness <= 1:
+		return u.speed.factor
 	}
-	return u.slowness
+	return max(u.slowness, u.speed.factor)
 }
 
 // isSlow reports whether a fresh report says that work takes much longer than usual.
