placement: speeds are sent only while they look uneven

Change: a daemon sends only what it finds uneven itself. The reply, which the sender adopts, contains the receiver's estimate in any case. The comparison of weighted scores takes a logarithm only where score and weight disagree.

--- a/internal/policy/placement/locality.go
+++ b/internal/policy/placement/locality.go
@@ -34,7 +34,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.objects.rotate(now)
-	p.updateSpeeds(now)
+	p.updateSpeeds()
 	local, remote, both := p.updateUtilization(now)
 	switch {
 	case !both:
--- a/internal/policy/placement/speed.go
+++ b/internal/policy/placement/speed.go
@@ -50,11 +50,9 @@
 	maxSpeedAge = daisygap.Millis(6_000)
 	// maxSpeedsPerMessage is the largest number of speed estimates in one gossip message.
 	maxSpeedsPerMessage = 32
-	// sharedDeviation is the smallest logarithm of a time factor that other daemons need to know, and sharedPeriod the time for which a
-	// daemon that received such an estimate sends its own, whatever it is. Otherwise the estimates that noise raised would only meet
-	// each other.
+	// sharedDeviation is the smallest logarithm of a time factor that a daemon sends to others. Their replies contain their own
+	// estimates, whatever these are.
 	sharedDeviation = 0.08
-	sharedPeriod    = daisygap.Millis(2_000)
 )
 
 var evenDeviation = math.Log(evenFactor)
@@ -140,14 +138,10 @@
 	observedAt daisygap.Millis
 	// merges is the decaying number of estimates of other daemons that the means contain.
 	merges float64
-	// sharedUntil is the time until which other daemons get the estimate.
-	sharedUntil daisygap.Millis
 	// lastLog and lastRise are the results of estimate in the last tick.
 	lastLog, lastRise float64
-	// deviation is the logarithm of the factor or of its rise, without the band, and message the number of the last message with the
-	// estimate.
+	// deviation is the logarithm of the factor or of its rise, without the band.
 	deviation float64
-	message   int
 }
 
 func evenSpeed() speed {
@@ -162,8 +156,6 @@
 	uneven, weighted bool
 	// shared lists the upstreams whose estimates other daemons get, the least even ones first.
 	shared []*Upstream
-	// message is the number of the last message with estimates, and next the index from which the next one takes some in turn.
-	message, next int
 	// changes holds the upstreams that left the band of evenFactor or returned.
 	changes []SpeedChange
 	values  []float64
@@ -173,6 +165,8 @@
 type SpeedChange struct {
 	Upstream  string
 	StartTime int64
+	// Uneven reports whether the upstream isn't even with its pool any longer.
+	Uneven bool
 	// Factor is how long work takes relative to the pool. It is 1 on return.
 	Factor float64
 	// UsableSlots is the number of slots that the upstream fills without slowing down, and Weight that in the hashing of objects.
@@ -211,7 +205,7 @@
 }
 
 // updateSpeeds determines each upstream's factor, weight and usable slots from the observations, once per tick.
-func (p *Pool) updateSpeeds(now daisygap.Millis) {
+func (p *Pool) updateSpeeds() {
 	ps := &p.speed
 	low, known := p.medianSpeed(func(s *speed) *speedMean { return &s.low })
 	high, highKnown := p.medianSpeed(func(s *speed) *speedMean { return &s.high })
@@ -235,13 +229,10 @@
 		wasEven := s.factor == 1 && s.slots == 1
 		s.update(x, rise)
 		if isEven := s.factor == 1 && s.slots == 1; isEven != wasEven {
-			ps.changes = append(ps.changes, SpeedChange{u.ID, u.StartTime, s.factor, s.slots * float64(u.Slots), s.weight})
+			ps.changes = append(ps.changes, SpeedChange{u.ID, u.StartTime, wasEven, s.factor, s.slots * float64(u.Slots), s.weight})
 		}
 		ps.uneven, ps.weighted = ps.uneven || s.factor != 1, ps.weighted || s.weight != 1
 		if s.deviation >= sharedDeviation {
-			s.sharedUntil = max(s.sharedUntil, now+TickInterval)
-		}
-		if now < s.sharedUntil && s.observedAt > 0 {
 			ps.shared = append(ps.shared, u)
 		}
 		s.low.decay()
@@ -357,8 +348,11 @@
 // weightedAffinity reports whether a comes before b for an object by their scores and weights.
 func weightedAffinity(a, b *Upstream, object uint64) bool {
 	sa, sb := a.score(object), b.score(object)
-	if a.speed.weight == b.speed.weight {
-		return sa > sb
+	switch wa, wb := a.speed.weight, b.speed.weight; {
+	case sa > sb && wa >= wb:
+		return true
+	case sa <= sb && wa <= wb:
+		return false
 	}
 	return math.Log(toUnitInterval(sa))/a.speed.weight > math.Log(toUnitInterval(sb))/b.speed.weight
 }
--- a/internal/policy/placement/speed_test.go
+++ b/internal/policy/placement/speed_test.go
@@ -351,3 +351,29 @@
 		t.Errorf("%d estimates of one message merged, want %d", got, maxSpeedsPerMessage)
 	}
 }
+
+// TestLimitsComeBeforeSpeed guards against a fast upstream that gets requests which a limit keeps from it.
+func TestLimitsComeBeforeSpeed(t *testing.T) {
+	limit := map[string]func(u *Upstream){
+		"cold":    func(u *Upstream) { u.coldUntil = 20_000 },
+		"down":    func(u *Upstream) { u.downUntil = 20_000 },
+		"leaving": func(u *Upstream) { u.leaving = true },
+		"paused":  func(u *Upstream) { u.pausedUntil = 20_000 },
+		"failing": func(u *Upstream) { u.failureRatio = 1 },
+		"rate":    func(u *Upstream) { u.limit.named, u.noPermitUntil = true, 20_000 },
+	}
+	for name, set := range limit {
+		f, _ := slowPool(tickPool)
+		p := f.Pool("p")
+		u := p.upstreams[1]
+		u.speed.factor, u.speed.weight, p.speed.uneven, p.speed.weighted = 0.25, maxObjectWeight, true, true
+		set(u)
+		for object := range uint64(100) {
+			c := p.Choose(query(reads(), object), 10_001)
+			if c.Upstream == u {
+				t.Errorf("%s: object %d went to the limited upstream", name, object)
+			}
+			p.Done(c, "r", Outcome{Result: Canceled}, 10_001)
+		}
+	}
+}
--- a/internal/policy/placement/speedshare.go
+++ b/internal/policy/placement/speedshare.go
@@ -12,9 +12,6 @@
 	weightScale = 1_000
 )
 
-// leastEvenPerMessage is the number of the least even upstreams whose estimates are in every message.
-const leastEvenPerMessage = 12
-
 // RecentSpeeds returns estimates of the speeds of upstreams that aren't even with their pools, to be sent to other daemons.
 func (f *Fleet) RecentSpeeds(now daisygap.Millis) []daisygap.SpeedEstimate {
 	var list []daisygap.SpeedEstimate
@@ -24,27 +21,15 @@
 	return list
 }
 
-// appendSpeeds appends estimates up to maxSpeedsPerMessage: those of the least even upstreams, and the others in turn.
+// appendSpeeds appends estimates up to maxSpeedsPerMessage, those of the least even upstreams first.
 func (p *Pool) appendSpeeds(list []daisygap.SpeedEstimate, now daisygap.Millis) []daisygap.SpeedEstimate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	ps := &p.speed
-	ps.message++
-	for i := range 2 * len(ps.shared) {
+	for _, u := range p.speed.shared {
 		if len(list) >= maxSpeedsPerMessage {
 			break
 		}
-		n := i
-		if i >= leastEvenPerMessage {
-			ps.next = (ps.next + 1) % len(ps.shared)
-			n = ps.next
-		}
-		if n >= len(ps.shared) {
-			continue
-		}
-		u := ps.shared[n]
-		if s := &u.speed; s.message != ps.message && now-s.observedAt <= maxSpeedAge && s.low.weight+s.high.weight >= minSpeedWeight {
-			s.message = ps.message
+		if s := &u.speed; now-s.observedAt <= maxSpeedAge && s.low.weight+s.high.weight >= minSpeedWeight {
 			list = append(list, p.estimateOf(u, now))
 		}
 	}
@@ -70,9 +55,6 @@
 	var results []daisygap.SpeedEstimate
 	f.eachSpeed(list, func(p *Pool, u *Upstream, e daisygap.SpeedEstimate) {
 		p.mergeSpeed(u, e, now, (*speedMean).mix)
-		if max(math.Abs(float64(e.Low)), math.Abs(float64(e.High))) >= sharedDeviation*speedScale {
-			u.speed.sharedUntil = now + sharedPeriod
-		}
 		results = append(results, p.estimateOf(u, now))
 	})
 	return results
