placement: changes of usable slots are reported, and their waits don't shorten service times

Cause: the wait that is assumed beyond an upstream's usable slots was subtracted from response times, so that the service time of an upstream with limited slots could only fall. A change of the factor was not reported while the slots were limited.

Change: that wait is not subtracted; each change of the factor's or the slots' state is reported. The simulation looks up servers by a map.

--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -375,7 +375,11 @@
 // recordSuccess updates the service times.
 func (p *Pool) recordSuccess(c Choice, route string, o Outcome, now daisygap.Millis) {
 	u := c.Upstream
-	serviceTime := max(1, float64(o.ResponseTime)-c.Wait-p.roundTrip(u))
+	wait := c.Wait
+	if u.speed.slots < 1 {
+		wait = 0 // it was a penalty for using slots that slow the upstream down
+	}
+	serviceTime := max(1, float64(o.ResponseTime)-wait-p.roundTrip(u))
 	// If the wait was underestimated, the rest of it looks like service time. So the mean may only decrease for requests
 	// that may have been queued.
 	maybeQueued := c.Wait > 0 || c.Load+1 > float64(u.Slots)
--- a/internal/policy/placement/speed.go
+++ b/internal/policy/placement/speed.go
@@ -156,18 +156,18 @@
 	uneven, weighted bool
 	// shared lists the upstreams whose estimates other daemons get, the least even ones first.
 	shared []*Upstream
-	// changes holds the upstreams that left the band of evenFactor or returned.
+	// changes holds what TakeSpeedChanges returns next.
 	changes []SpeedChange
 	values  []float64
 }
 
-// SpeedChange is the departure of an upstream's time factor from the band of evenFactor, or its return.
+// SpeedChange is the departure of an upstream's time factor from the band of evenFactor, or its return, or the same of its usable slots.
 type SpeedChange struct {
 	Upstream  string
 	StartTime int64
-	// Uneven reports whether the upstream isn't even with its pool any longer.
+	// Uneven reports whether the upstream isn't even with its pool.
 	Uneven bool
-	// Factor is how long work takes relative to the pool. It is 1 on return.
+	// Factor is how long work takes relative to the pool, or 1 within the band.
 	Factor float64
 	// UsableSlots is the number of slots that the upstream fills without slowing down, and Weight that in the hashing of objects.
 	UsableSlots float64
@@ -226,10 +226,10 @@
 		if max(known, highKnown) < 2 {
 			x, rise = 0, 0
 		}
-		wasEven := s.factor == 1 && s.slots == 1
+		evenTime, allSlots := s.factor == 1, s.slots == 1
 		s.update(x, rise)
-		if isEven := s.factor == 1 && s.slots == 1; isEven != wasEven {
-			ps.changes = append(ps.changes, SpeedChange{u.ID, u.StartTime, wasEven, s.factor, s.slots * float64(u.Slots), s.weight})
+		if evenTime != (s.factor == 1) || allSlots != (s.slots == 1) {
+			ps.changes = append(ps.changes, SpeedChange{u.ID, u.StartTime, s.factor != 1 || s.slots != 1, s.factor, s.slots * float64(u.Slots), s.weight})
 		}
 		ps.uneven, ps.weighted = ps.uneven || s.factor != 1, ps.weighted || s.weight != 1
 		if s.deviation >= sharedDeviation {
--- a/internal/policy/placement/speedsim_test.go
+++ b/internal/policy/placement/speedsim_test.go
@@ -38,6 +38,7 @@
 	events  speedEvents
 	fleets  []*Fleet
 	servers []*speedServer
+	indexes map[string]int
 	// times holds the response times since reset, served counts them by upstream, and refused counts the refusals.
 	times   []float64
 	served  []int
@@ -92,8 +93,10 @@
 		tr.after(1, daisygap.Millis(tr.random.IntN(400)), func(now daisygap.Millis) { tr.gossip(i, now) })
 		tr.after(1, daisygap.Millis(tr.random.IntN(500)), func(now daisygap.Millis) { tr.update(i, now) })
 	}
-	for range tr.upstreams {
+	tr.indexes = make(map[string]int)
+	for i := range tr.upstreams {
 		tr.servers = append(tr.servers, &speedServer{})
+		tr.indexes[list[i].ID] = i
 	}
 	tr.after(1, 0, tr.arrive)
 	for end := daisygap.Millis(1_000 * seconds); tr.events[0].at < end; {
@@ -142,7 +145,7 @@
 		tr.refused++
 		return
 	}
-	i := slices.IndexFunc(instances("n-1", tr.upstreams, 4), func(i daisygap.Instance) bool { return i.ID == c.Upstream.ID })
+	i := tr.indexes[c.Upstream.ID]
 	s := tr.servers[i]
 	start := func(started daisygap.Millis) {
 		s.running++
