placement: an upstream's deviation is computed when it is needed

Cause: the field repeated what the two results before it say.

Change: a method instead of the field.

--- a/internal/policy/placement/speed.go
+++ b/internal/policy/placement/speed.go
@@ -140,8 +140,6 @@
 	merges float64
 	// lastLog and lastRise are the results of estimate in the last tick.
 	lastLog, lastRise float64
-	// deviation is the logarithm of the factor or of its rise, without the band.
-	deviation float64
 }
 
 func evenSpeed() speed {
@@ -232,14 +230,14 @@
 			ps.changes = append(ps.changes, SpeedChange{u.ID, u.StartTime, s.factor != 1 || s.slots != 1, s.factor, s.slots * float64(u.Slots), s.weight})
 		}
 		ps.uneven, ps.weighted = ps.uneven || s.factor != 1, ps.weighted || s.weight != 1
-		if s.deviation >= sharedDeviation {
+		if s.deviation() >= sharedDeviation {
 			ps.shared = append(ps.shared, u)
 		}
 		s.low.decay()
 		s.high.decay()
 		s.merges *= speedDecay
 	}
-	slices.SortStableFunc(ps.shared, func(a, b *Upstream) int { return cmp.Compare(b.speed.deviation, a.speed.deviation) })
+	slices.SortStableFunc(ps.shared, func(a, b *Upstream) int { return cmp.Compare(b.speed.deviation(), a.speed.deviation()) })
 }
 
 // isUnknown reports whether there are no observations, and nothing of earlier ones is in force.
@@ -257,7 +255,12 @@
 	}
 	s.weight = approach(s.weight, clamp(weightOf(steady), minObjectWeight, maxObjectWeight))
 	s.slots = approach(s.slots, clamp(weightOf(min(rise, s.lastRise)), minSlotsRatio, 1))
-	s.deviation, s.lastLog, s.lastRise = max(math.Abs(x), rise), x, rise
+	s.lastLog, s.lastRise = x, rise
+}
+
+// deviation returns the logarithm of the factor or of its rise in the last tick, without the band.
+func (s *speed) deviation() float64 {
+	return max(math.Abs(s.lastLog), s.lastRise)
 }
 
 // medianSpeed returns the median of the upstreams' means and the number of upstreams that have one.
