--- a/gossip.go
+++ b/gossip.go
@@ -86,7 +86,7 @@
 	// Low is the mean logarithm of the time factor in thousandths while up to half of the slots are in use, and High with more in use.
 	Low  int `json:"l,omitempty"`
 	High int `json:"h,omitempty"`
-	// LowWeight and HighWeight are the numbers of observations in hundredths. Older ones count less.
+	// LowWeight and HighWeight are the numbers of observations in thousandths. Older ones count less.
 	LowWeight  int `json:"w,omitempty"`
 	HighWeight int `json:"v,omitempty"`
 	// Age is the time since the newest observation.
--- a/internal/daemon/steer/attempt.go
+++ b/internal/daemon/steer/attempt.go
@@ -297,6 +297,7 @@
 		o.Result = placement.Failed
 		d.recordAnswer(e.fingerprint, a.started, now)
 	default:
+		o.Rejected = a.res.StatusCode >= http.StatusBadRequest
 		d.recordAnswer(e.fingerprint, a.started, now)
 	}
 	if p := d.fleet.Pool(c.Upstream.Pool); p != nil {
--- a/internal/daemon/steer/gossip.go
+++ b/internal/daemon/steer/gossip.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/policy/roster"
@@ -26,6 +27,8 @@
 	// inverse of the fraction of the contacts in the region that are drawn from all its domains then.
 	largeDomain     = 16
 	crossDomainOdds = 4
+	// gossipTurn is how long the second contact of a round waits for the end of the first exchange. It covers a round trip between regions.
+	gossipTurn = daisygap.Millis(100)
 	// contactPeriod is the time after its start in which a daemon gets in contact with the others.
 	contactPeriod = daisygap.Millis(2_000)
 )
@@ -73,21 +76,39 @@
 // runGossip periodically exchanges heartbeats with other daemons.
 func (d *Daemon) runGossip() {
 	for d.sleep(jitter(gossipInterval)) {
-		for _, address := range d.gossipTargets(gossipFanout) {
-			go d.exchangeGossip(address)
+		go d.exchangeInTurn(d.gossipTargets(gossipFanout))
+	}
+}
+
+// exchangeInTurn starts each exchange when the one before it has ended, or after gossipTurn. Speeds that are sent to two daemons at once
+// spread twice as far as one daemon's observations should.
+func (d *Daemon) exchangeInTurn(addresses []string) {
+	for _, address := range addresses {
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			d.exchangeGossip(address)
+		}()
+		select {
+		case <-ended:
+		case <-time.After(gossipTurn.Duration()):
 		}
 	}
 }
 
 func (d *Daemon) exchangeGossip(address string) {
 	g := d.nextGossip(false)
-	g.AllCrashes, g.Speeds = d.isContactStale(), d.fleet.RecentSpeeds(d.Clock.Now())
+	g.AllCrashes = d.isContactStale()
+	// A leaving daemon contacts many others at once, each of which would mix the same estimates into its own.
+	if !d.stopping.Load() {
+		g.Speeds = d.fleet.RecentSpeeds(d.Clock.Now())
+	}
 	reply, err := d.Peers.Gossip(address, g)
 	if err != nil {
 		return // the roster detects daemons that don't respond
 	}
 	d.mergeGossip(reply)
-	d.fleet.AdoptSpeeds(reply.Speeds, d.Clock.Now())
+	d.fleet.AdoptSpeeds(g.Speeds, reply.Speeds, d.Clock.Now())
 	d.noteContact()
 }
 
--- a/internal/policy/placement/locality.go
+++ b/internal/policy/placement/locality.go
@@ -36,7 +36,7 @@
 	if p.objects.rotate(now) {
 		p.updateHoming()
 	}
-	p.updateSpeeds()
+	p.updateSpeeds(now)
 	local, remote, both := p.updateUtilization(now)
 	// Without requests, the utilization says nothing.
 	if both && p.homing.active && p.objects.estimate() > 0 {
--- a/internal/policy/placement/outcome.go
+++ b/internal/policy/placement/outcome.go
@@ -26,6 +26,9 @@
 	Result Result
 	// Refused reports whether the connection to an unreachable upstream was refused, which shows that no process listens.
 	Refused bool
+	// Rejected reports whether an answer's status is 400 to 499. Such answers are often much faster than the work, so that their time says
+	// nothing about the upstream's speed.
+	Rejected bool
 	// ResponseTime is the time from sending the request to the complete response, or to the start of streaming for a large one.
 	ResponseTime daisygap.Millis
 	// ConnectTime is the time that opening a connection took, or 0 if one was reused.
--- a/internal/policy/placement/pool.go
+++ b/internal/policy/placement/pool.go
@@ -393,12 +393,13 @@
 		return
 	}
 	t := p.serviceTimesOf(route)
+	times, r := &t.miss, &t.missReference
 	if c.isOwner {
-		t.hit.record(serviceTime, maybeQueued)
-		p.recordSpeed(c, &t.hitReference, o, now)
-	} else {
-		t.miss.record(serviceTime, maybeQueued)
-		p.recordSpeed(c, &t.missReference, o, now)
+		times, r = &t.hit, &t.hitReference
+	}
+	times.record(serviceTime, maybeQueued)
+	if !o.Rejected {
+		p.recordSpeed(c, r, o, now)
 	}
 }
 
--- a/internal/policy/placement/speed.go
+++ b/internal/policy/placement/speed.go
@@ -57,6 +57,10 @@
 
 var evenDeviation = math.Log(evenFactor)
 
+// maxSpeedMean bounds how far an observation counts from the median. Since it counts only maxSpeedDeviation less than the mean, a larger mean
+// would remain for long after the upstream has recovered.
+var maxSpeedMean = math.Log(maxFactor) + maxSpeedDeviation
+
 // speedMean is the decaying mean of the logarithms of service times relative to the usual time of their route.
 type speedMean struct {
 	weight, sum float64
@@ -72,16 +76,21 @@
 	return m.sum / m.weight
 }
 
-// add adds an observation, limited to maxSpeedDeviation from the mean.
-func (m *speedMean) add(x float64) {
+// add adds an observation, limited to maxSpeedDeviation from the mean and to maxSpeedMean from the median.
+func (m *speedMean) add(x, median float64) {
 	center := m.mean()
-	m.sum += center + clamp(x-center, -maxSpeedDeviation, maxSpeedDeviation)
+	x = center + clamp(x-center, -maxSpeedDeviation, maxSpeedDeviation)
+	m.sum += clamp(x, median-maxSpeedMean, median+maxSpeedMean)
 	m.weight++
 	m.own++
 }
 
-// extend adds weight without changing the mean.
+// extend adds weight without changing the mean. Without observations there is nothing to extend, and the weight would stand for an even
+// upstream.
 func (m *speedMean) extend(weight float64) {
+	if m.weight < minSpeedWeight {
+		return
+	}
 	m.sum += weight * m.mean()
 	m.weight += weight
 }
@@ -92,9 +101,22 @@
 	m.sum, m.weight, m.own = (m.sum+mean*weight)/2, (m.weight+weight)/2, m.own/4
 }
 
-// adopt replaces the mean by one that contains it.
-func (m *speedMean) adopt(mean, weight float64) {
-	m.sum, m.weight, m.own = mean*weight, weight, m.own/4
+// adopt changes the mean by the difference of two estimates of it, given relative to the median: the one that was sent to another daemon, and
+// the result of mixing it there. The mean stays between itself and the result.
+func (m *speedMean) adopt(median float64, sent, sentWeight, result, resultWeight int) {
+	mean, before, after := m.mean(), float64(sentWeight)/weightScale, float64(resultWeight)/weightScale
+	if m.weight < minSpeedWeight {
+		mean = median
+	}
+	x, y := median+float64(sent)/speedScale, median+float64(result)/speedScale
+	weight := m.weight + after - before
+	sum := m.sum + y*after - x*before
+	m.own /= 4
+	if weight < minSpeedWeight {
+		m.sum, m.weight = 0, 0
+		return
+	}
+	m.weight, m.sum = weight, weight*clamp(sum/weight, min(mean, y), max(mean, y))
 }
 
 func (m *speedMean) decay() {
@@ -183,6 +205,7 @@
 		running = min(running, float64(o.Load.Running))
 	}
 	s := &u.speed
+	s.expire(now)
 	m, expected := &s.low, p.speed.low
 	if 2*running > float64(u.Slots) {
 		m, expected = &s.high, p.speed.high
@@ -198,12 +221,12 @@
 	// The usual time is that of an even upstream.
 	r.record(x - m.mean() + expected)
 	if r.count > referenceSettled {
-		m.add(x - r.log)
+		m.add(x-r.log, expected)
 	}
 }
 
 // updateSpeeds determines each upstream's factor, weight and usable slots from the observations, once per tick.
-func (p *Pool) updateSpeeds() {
+func (p *Pool) updateSpeeds(now daisygap.Millis) {
 	ps := &p.speed
 	low, known := p.medianSpeed(func(s *speed) *speedMean { return &s.low })
 	high, highKnown := p.medianSpeed(func(s *speed) *speedMean { return &s.high })
@@ -217,6 +240,7 @@
 	ps.shared = ps.shared[:0]
 	for _, u := range p.upstreams {
 		s := &u.speed
+		s.expire(now)
 		if s.isUnknown() {
 			continue
 		}
@@ -240,6 +264,14 @@
 	slices.SortStableFunc(ps.shared, func(a, b *Upstream) int { return cmp.Compare(b.speed.deviation(), a.speed.deviation()) })
 }
 
+// expire drops the observations if the newest one is older than maxSpeedAge. Their weights don't decay while the daemon is frozen or the
+// upstream's domain is evacuated.
+func (s *speed) expire(now daisygap.Millis) {
+	if now-s.observedAt > maxSpeedAge {
+		s.low, s.high, s.merges = speedMean{}, speedMean{}, 0
+	}
+}
+
 // isUnknown reports whether there are no observations, and nothing of earlier ones is in force.
 func (s *speed) isUnknown() bool {
 	return max(s.low.weight, s.high.weight) < minSpeedWeight && s.factor == 1 && s.weight == 1 && s.slots == 1
--- a/internal/policy/placement/speedshare.go
+++ b/internal/policy/placement/speedshare.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/daisygap/daisygap"
 )
@@ -54,16 +55,26 @@
 func (f *Fleet) MergeSpeeds(list []daisygap.SpeedEstimate, now daisygap.Millis) []daisygap.SpeedEstimate {
 	var results []daisygap.SpeedEstimate
 	f.eachSpeed(list, func(p *Pool, u *Upstream, e daisygap.SpeedEstimate) {
-		p.mergeSpeed(u, e, now, (*speedMean).mix)
+		p.mergeSpeed(u, e, now)
 		results = append(results, p.estimateOf(u, now))
 	})
 	return results
 }
 
-// AdoptSpeeds replaces this daemon's estimates by those in the reply to them.
-func (f *Fleet) AdoptSpeeds(list []daisygap.SpeedEstimate, now daisygap.Millis) {
-	f.eachSpeed(list, func(p *Pool, u *Upstream, e daisygap.SpeedEstimate) {
-		p.mergeSpeed(u, e, now, (*speedMean).adopt)
+// AdoptSpeeds changes this daemon's estimates by what the reply to the sent ones changed in them. Replacing them would discard what other
+// exchanges mixed into them meanwhile, and count what was sent more than once.
+func (f *Fleet) AdoptSpeeds(sent, reply []daisygap.SpeedEstimate, now daisygap.Millis) {
+	f.eachSpeed(reply, func(p *Pool, u *Upstream, e daisygap.SpeedEstimate) {
+		i := slices.IndexFunc(sent, func(s daisygap.SpeedEstimate) bool { return s.Upstream == e.Upstream && s.StartTime == e.StartTime })
+		if i < 0 {
+			return
+		}
+		s := &u.speed
+		s.expire(now)
+		s.low.adopt(p.speed.low, sent[i].Low, sent[i].LowWeight, e.Low, e.LowWeight)
+		s.high.adopt(p.speed.high, sent[i].High, sent[i].HighWeight, e.High, e.HighWeight)
+		s.observedAt = max(s.observedAt, now-e.Age)
+		s.merges++
 	})
 }
 
@@ -88,15 +99,18 @@
 
 // isPlausible reports whether an estimate's values are some that a daemon can send.
 func isPlausible(e daisygap.SpeedEstimate) bool {
-	const maxMean, maxWeight = 8 * speedScale, 1_000 * weightScale
+	// The medians of two daemons may differ.
+	maxMean := toScale(2*maxSpeedMean, speedScale)
+	const maxWeight = 1_000 * weightScale
 	return min(e.Low, e.High) >= -maxMean && max(e.Low, e.High) <= maxMean &&
 		min(e.LowWeight, e.HighWeight) >= 0 && max(e.LowWeight, e.HighWeight) <= maxWeight
 }
 
-func (p *Pool) mergeSpeed(u *Upstream, e daisygap.SpeedEstimate, now daisygap.Millis, merge func(m *speedMean, mean, weight float64)) {
+func (p *Pool) mergeSpeed(u *Upstream, e daisygap.SpeedEstimate, now daisygap.Millis) {
 	s := &u.speed
-	merge(&s.low, p.speed.low+float64(e.Low)/speedScale, float64(e.LowWeight)/weightScale)
-	merge(&s.high, p.speed.high+float64(e.High)/speedScale, float64(e.HighWeight)/weightScale)
+	s.expire(now)
+	s.low.mix(p.speed.low+float64(e.Low)/speedScale, float64(e.LowWeight)/weightScale)
+	s.high.mix(p.speed.high+float64(e.High)/speedScale, float64(e.HighWeight)/weightScale)
 	s.observedAt = max(s.observedAt, now-e.Age)
 	s.merges++
 }
--- a/internal/policy/placement/speedsim_test.go
+++ b/internal/policy/placement/speedsim_test.go
@@ -16,6 +16,9 @@
 	speedMiss  = 300
 	speedHit   = 90
 	speedCache = 16
+	// speedNear and speedFar are the latencies in ms of three quarters and of a quarter of the messages between daemons. A daemon may get
+	// messages while it waits for a reply.
+	speedNear, speedFar = daisygap.Millis(1), daisygap.Millis(35)
 )
 
 // speedTrial simulates daemons and the upstreams of one pool on a manual clock.
@@ -109,18 +112,35 @@
 	tr.times, tr.served, tr.refused = nil, make([]int, tr.upstreams), 0
 }
 
+// gossip starts two exchanges, the second one when the first has ended.
 func (tr *speedTrial) gossip(i int, now daisygap.Millis) {
-	for range 2 {
-		if j := tr.random.IntN(tr.daemons); j != i && !tr.alone {
-			sent := tr.fleets[i].RecentSpeeds(now)
-			reply := tr.fleets[j].MergeSpeeds(sent, now)
-			tr.fleets[i].AdoptSpeeds(reply, now)
-			tr.speedsSent += len(sent) + len(reply)
-		}
-	}
+	tr.exchange(i, now, func(now daisygap.Millis) {
+		tr.exchange(i, now, func(daisygap.Millis) {})
+	})
 	tr.after(now, 400, func(now daisygap.Millis) { tr.gossip(i, now) })
 }
 
+func (tr *speedTrial) exchange(i int, now daisygap.Millis, then func(now daisygap.Millis)) {
+	j := tr.random.IntN(tr.daemons)
+	if j == i || tr.alone {
+		then(now)
+		return
+	}
+	delay := speedNear
+	if tr.random.IntN(4) == 0 {
+		delay = speedFar
+	}
+	sent := tr.fleets[i].RecentSpeeds(now)
+	tr.after(now, delay, func(now daisygap.Millis) {
+		reply := tr.fleets[j].MergeSpeeds(sent, now)
+		tr.speedsSent += len(sent) + len(reply)
+		tr.after(now, delay, func(now daisygap.Millis) {
+			tr.fleets[i].AdoptSpeeds(sent, reply, now)
+			then(now)
+		})
+	})
+}
+
 func (tr *speedTrial) update(i int, now daisygap.Millis) {
 	p := tr.fleets[i].Pool("p")
 	p.Tick(now)
