soak: keys, allowances, uploads, held bodies and invalid statuses

Customers, uploads and the bounds on clients were tested per part, but not beside the other faults. Callers of the soak now carry keys, of which some are withdrawn and added by new configurations while connections stay open; one customer with a rate floods, callers upload, crowds hold bodies that stop short, and servers respond with the statuses 000, 101 and 600. The checker checks keys and customers' names at servers, withdrawn keys, the allowance in any 5 s, refusals with 401 and 429 for all kinds, and processes that end by themselves. Requests refused with 401 or 429 no longer raise the retry budget that the checker allows.

--- a/internal/soak/fault/deployment.go
+++ b/internal/soak/fault/deployment.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -73,6 +74,8 @@
 	// current configuration, the newest last. Each new configuration adds one and removes older ones.
 	staticRoutes []site.Route
 	generations  []int
+	// withdrawn holds the latest keys that were withdrawn, which callers go on to use.
+	withdrawn    []promise.Key
 	requestKinds []client.Kind
 }
 
@@ -83,6 +86,8 @@
 	{Name: "files", Prefix: "/files/", Kind: "download", Pool: "stock", Timeout: "2000ms"},
 	{Name: "brief", Prefix: "/brief/", Kind: "safe", Pool: "stock", Timeout: "400ms"},
 	{Name: "home", Prefix: "/home/", Kind: "safe", Pool: "stock", Timeout: "2000ms", Homes: []string{"south"}},
+	{Name: "uploads", Prefix: "/uploads/", Kind: "upload", Pool: "desk", Timeout: "2000ms"},
+	{Name: "open", Prefix: "/open/", Kind: "safe", Pool: "stock", Timeout: "2000ms", Public: true},
 }
 
 // staticRequestKinds returns the kinds of requests to the static routes.
@@ -91,7 +96,7 @@
 	order := promise.Route{Pool: "desk", Attempts: 2, Timeout: 2 * time.Second}
 	brief, home := read, read
 	brief.Timeout, home.HomeRegion = 400*time.Millisecond, "south"
-	return []client.Kind{
+	kinds := []client.Kind{
 		{Method: http.MethodGet, Prefix: "/reads/", Weight: 30, Route: read},
 		{Method: http.MethodPost, Prefix: "/orders/", Weight: 35, Route: order},
 		{Method: http.MethodGet, Prefix: "/files/", Weight: 10, Route: read},
@@ -99,14 +104,22 @@
 		{Method: http.MethodGet, Prefix: "/brief/", Weight: 2, Route: brief, Slow: true},
 		{Method: http.MethodGet, Prefix: "/reads/", Weight: 3, Route: read, CancelsEarly: true},
 		{Method: http.MethodPost, Prefix: "/orders/", Weight: 2, Route: order, CancelsEarly: true},
+		{Method: http.MethodPost, Prefix: "/uploads/", Weight: 4, Route: order, Upload: true},
 	}
+	for i := range kinds {
+		kinds[i].Keys = steadyKeys
+	}
+	return append(kinds, customerRequestKinds(read, order)...)
 }
 
 // startDeployment starts the store, the servers and the daemons.
 func startDeployment(binary, folder string, daemons int) (*deployment, error) {
 	d := &deployment{
-		site:         &site.Site{Regions: regions, Routes: staticRoutes},
-		checker:      &promise.Checker{Faults: &promise.FaultHistory{}, RetryRatio: retryRatio, RetrySlack: retrySlack},
+		site: &site.Site{Regions: regions, Routes: staticRoutes, Customers: customers(nil)},
+		checker: &promise.Checker{
+			Faults: &promise.FaultHistory{}, RetryRatio: retryRatio, RetrySlack: retrySlack,
+			NeedsKeys: true, Allowances: map[string]promise.Allowance{meteredKey.Customer: meteredAllowance},
+		},
 		staticRoutes: staticRoutes, requestKinds: staticRequestKinds(),
 	}
 	if err := d.site.Run(); err != nil {
@@ -166,7 +179,9 @@
 	for _, seed := range d.hosts[:min(len(d.hosts), 3)] {
 		s.Peers = append(s.Peers, seed.Settings.Steering.AdvertiseAddress)
 	}
-	h.Daemon = &process.Daemon{Binary: binary, Folder: folder, Settings: s}
+	h.Daemon = &process.Daemon{Binary: binary, Folder: folder, Settings: s, OnCrash: func(state *os.ProcessState) {
+		d.checker.ProcessEnded(s.Host, state.String())
+	}}
 	d.hosts = append(d.hosts, h)
 	return nil
 }
@@ -251,7 +266,8 @@
 	return d.servers[random.IntN(len(d.servers))]
 }
 
-// configure writes a configuration with the route of a new generation and that of the previous one, without older ones.
+// configure writes a configuration with the route and the key of a new generation and those of the previous one, without
+// older ones.
 func (d *deployment) configure() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -268,6 +284,7 @@
 		routes = append(routes, site.Route{Name: fmt.Sprintf("generation-%d", g), Prefix: prefix, Kind: "safe", Pool: "stock", Timeout: "2000ms"})
 		kinds = append(kinds, generationRequestKind(prefix, g))
 	}
+	d.site.Customers = customers(kept)
 	if err := d.site.Configure(routes); err != nil {
 		return err
 	}
@@ -276,14 +293,17 @@
 		d.checker.RouteRemoved(g)
 		// Callers go on with requests to the removed route until the next configuration, to check that it is refused.
 		kinds = append(kinds, generationRequestKind(fmt.Sprintf("/generation-%d/", g), g))
+		d.withdrawn = append(d.withdrawn, rotatingKey(g))
 	}
+	d.withdrawn = d.withdrawn[max(0, len(d.withdrawn)-maxWithdrawn):]
+	kinds = append(kinds, rotatingRequestKinds(kept, slices.Clone(d.withdrawn))...)
 	d.generations, d.requestKinds = kept, kinds
 	return nil
 }
 
 func generationRequestKind(prefix string, generation int) client.Kind {
 	return client.Kind{
-		Method: http.MethodGet, Prefix: prefix, Weight: 5,
+		Method: http.MethodGet, Prefix: prefix, Weight: 5, Keys: steadyKeys,
 		Route: promise.Route{Pool: "stock", Idempotent: true, Attempts: 2, Timeout: 2 * time.Second, Generation: generation},
 	}
 }
--- a/internal/soak/fault/faults.go
+++ b/internal/soak/fault/faults.go
@@ -42,6 +42,9 @@
 	{"configure", 8, func(r *Run) { r.writeConfigurations(1) }},
 	{"configure storm", 2, func(r *Run) { r.writeConfigurations(6) }},
 	{"burst", 3, (*Run).addCallers},
+	{"rotate keys", 4, func(r *Run) { r.writeConfigurations(2) }},
+	{"flood", 5, (*Run).floodByCustomer},
+	{"bodies", 4, (*Run).holdBodies},
 }
 
 // runFault calls do in the background, and records a fault of the scope (see promise.FaultHistory.Begin) until do
@@ -211,7 +214,7 @@
 func (r *Run) failServer() {
 	faults := []instance.Fault{
 		instance.Shed, instance.Fail, instance.Lose, instance.Cut, instance.Unframed, instance.UnframedCut,
-		instance.Extra, instance.ExtraLate, instance.NoStamp, instance.WrongID, instance.Encoded, instance.Garbage, instance.Silent,
+		instance.Extra, instance.ExtraLate, instance.NoStamp, instance.WrongID, instance.Encoded, instance.Garbage, instance.Silent, instance.InvalidStatus, instance.InvalidStatus,
 	}
 	s, f, duration := r.deployment.randomServer(r.random), faults[r.random.IntN(len(faults))], r.randomDuration(500*time.Millisecond, 5*time.Second)
 	r.logf("server fault of %s: %s for %v", s.ID, f, duration)
@@ -361,7 +364,7 @@
 	duration := r.randomDuration(time.Second, 4*time.Second)
 	r.logf("add %d callers for %v", 2*r.Callers, duration)
 	ctx, cancel := context.WithTimeout(context.Background(), duration)
-	group := r.startCallers(ctx, "burst", 2*r.Callers, meanCallerInterval/4)
+	group := r.startCallers(ctx, "burst", 2*r.Callers, meanCallerInterval/4, domains, r.deployment.currentRequestKinds)
 	r.group.Go(func() {
 		defer cancel()
 		group.Wait()
--- a/internal/soak/fault/run.go
+++ b/internal/soak/fault/run.go
@@ -78,7 +78,7 @@
 	}
 	calling, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
-	callers := r.startCallers(calling, "caller", r.Callers, meanCallerInterval)
+	callers := r.startCallers(calling, "caller", r.Callers, meanCallerInterval, domains, r.deployment.currentRequestKinds)
 	r.started = time.Now()
 	r.injectFaults(ctx)
 	r.group.Wait()
@@ -94,14 +94,14 @@
 	}, nil
 }
 
-// startCallers starts n callers, spread evenly over the domains. They run until ctx ends.
-func (r *Run) startCallers(ctx context.Context, name string, n int, meanInterval time.Duration) *sync.WaitGroup {
+// startCallers starts n callers, spread evenly over the given domains. They run until ctx ends.
+func (r *Run) startCallers(ctx context.Context, name string, n int, meanInterval time.Duration, domains []string, kinds func() []client.Kind) *sync.WaitGroup {
 	group := new(sync.WaitGroup)
 	for i := range n {
 		domain := domains[i%len(domains)]
 		c := &client.Caller{
 			Name: fmt.Sprintf("%s-%d", name, i), Domain: domain, Region: regions[domain], Patient: i%3 == 0, MeanInterval: meanInterval,
-			Entries: r.deployment.entries(), Kinds: r.deployment.currentRequestKinds, Checker: r.deployment.checker,
+			Entries: r.deployment.entries(), Kinds: kinds, Checker: r.deployment.checker,
 			Random: rand.New(rand.NewPCG(r.Seed, r.random.Uint64())),
 		}
 		group.Go(func() { c.Run(ctx) })
--- a/internal/soak/process/daemon.go
+++ b/internal/soak/process/daemon.go
@@ -23,11 +23,15 @@
 	Binary   string
 	Folder   string
 	Settings daisygap.Settings
+	// OnCrash, if set, is called when the process ends without Kill or Terminate.
+	OnCrash func(*os.ProcessState)
 
 	mu          sync.Mutex
 	incarnation int
 	cmd         *exec.Cmd
 	exited      chan struct{}
+	// stopping reports whether Kill or Terminate ends the current process.
+	stopping bool
 }
 
 // Start writes the settings and starts the process. It does nothing when the process is running.
@@ -58,7 +62,7 @@
 		return daisygap.WrapError("start", d.Settings.Host, err)
 	}
 	d.incarnation++
-	d.cmd, d.exited = cmd, make(chan struct{})
+	d.cmd, d.exited, d.stopping = cmd, make(chan struct{}), false
 	go d.wait(cmd, d.exited)
 	return nil
 }
@@ -67,9 +71,13 @@
 	// Terminate reads the exit code from cmd.ProcessState.
 	_ = cmd.Wait()
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	crashed := !d.stopping
 	d.cmd = nil
 	close(exited)
+	d.mu.Unlock()
+	if crashed && d.OnCrash != nil {
+		d.OnCrash(cmd.ProcessState)
+	}
 }
 
 // Incarnation returns the number of starts so far.
@@ -92,7 +100,7 @@
 
 // Kill sends SIGKILL and waits for the exit of the process.
 func (d *Daemon) Kill() {
-	exited := d.done()
+	exited := d.beginStop()
 	d.Signal(syscall.SIGKILL)
 	<-exited
 }
@@ -106,7 +114,7 @@
 	if cmd == nil {
 		return nil
 	}
-	exited := d.done()
+	exited := d.beginStop()
 	d.Signal(syscall.SIGTERM)
 	select {
 	case <-exited:
@@ -120,8 +128,8 @@
 	return nil
 }
 
-// done returns a channel that is closed when the process has exited.
-func (d *Daemon) done() <-chan struct{} {
+// beginStop marks the end of the process as intended, and returns a channel that is closed when it has exited.
+func (d *Daemon) beginStop() <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.cmd == nil {
@@ -129,5 +137,6 @@
 		close(closed)
 		return closed
 	}
+	d.stopping = true
 	return d.exited
 }
--- a/internal/soak/promise/checker.go
+++ b/internal/soak/promise/checker.go
@@ -46,6 +46,7 @@
 	Path   string
 	Body   string
 	Route  Route
+	Key    Key
 	Daemon string
 	// Incarnation identifies the process of the daemon; it counts the starts.
 	Incarnation int
@@ -63,6 +64,8 @@
 	Timeout    time.Duration
 	// HomeRegion is the only region whose servers may execute the requests. "" allows all regions.
 	HomeRegion string
+	// Public routes serve requests without a customer's key.
+	Public bool
 	// Generation is the number of a temporary route. It is 0 for routes that every configuration has.
 	Generation int
 }
@@ -73,10 +76,12 @@
 	Connected bool
 	// Complete reports whether a complete response was received. The fields from Status to Body come from it.
 	Complete bool
-	Status   int
-	ID       string
-	Stamp    string
-	Body     string
+	// InvalidStatus reports that the status of the response isn't that of a final response. The response isn't complete then.
+	InvalidStatus bool
+	Status        int
+	ID            string
+	Stamp         string
+	Body          string
 	// Reason is why the daemon refused the request, or "".
 	Reason string
 	Ended  time.Time
@@ -108,6 +113,10 @@
 	// RetryRatio and RetrySlack limit the retries to a pool in ten seconds to a ratio of its requests plus a constant.
 	RetryRatio float64
 	RetrySlack float64
+	// NeedsKeys reports whether routes that aren't public need a customer's key. Allowances holds the customers with a rate by
+	// name.
+	NeedsKeys  bool
+	Allowances map[string]Allowance
 
 	mu sync.Mutex
 	// requests holds the requests by ID, and sent holds them in the order of sending.
@@ -121,9 +130,11 @@
 	newestServed map[string]servedGeneration
 	arrivals     map[string][]arrival
 	stops        map[string][]time.Time
-	violations   []string
-	truncated    int
-	overBudget   int
+	// used holds when requests of the customers in Allowances first reached a server, in the last allowanceWindow.
+	used       map[string][]time.Time
+	violations []string
+	truncated  int
+	overBudget int
 }
 
 type requestRecord struct {
@@ -147,6 +158,8 @@
 type generation struct {
 	added   time.Time
 	removed time.Time
+	// removedBy is the generation of the first configuration without the route.
+	removedBy int
 }
 
 // servedGeneration is the newest generation whose route a process has served, and when it first did so.
@@ -204,6 +217,9 @@
 	c.checkNotices(s, r, a.Executed, now)
 	c.checkColdRate(s, now)
 	c.checkLimit(s, r, now)
+	c.checkCustomer(s, r, a, now)
+	c.checkKeyInForce(r, now)
+	c.checkAllowance(r, now)
 	if a.Executed {
 		c.checkExecution(s, r, a, now)
 	}
@@ -217,7 +233,7 @@
 		c.addViolation("UNASKED", "request %s was modified on its way to the server: path %s", a.ID, a.Path)
 	case !r.request.Route.Idempotent && len(r.executions) > 1:
 		c.addViolation("TWICE", "non-idempotent request %s was executed %d times, last on %s", a.ID, len(r.executions), s.ID)
-	case !r.request.Route.Idempotent && r.result != nil && meansNotExecuted(r.result.Status):
+	case r.result != nil && r.refused():
 		c.addViolation("REFUSED", "request %s was executed on %s after it had been refused with status %d", a.ID, s.ID, r.result.Status)
 	case r.request.Route.Pool != s.Pool:
 		c.addViolation("ROUTE", "request %s for pool %s was executed on %s of pool %s", a.ID, r.request.Route.Pool, s.ID, s.Pool)
@@ -307,21 +323,25 @@
 	r := c.requests[id]
 	r.result = &result
 	switch {
+	case result.InvalidStatus:
+		c.addViolation("STATUS", "request %s received a response from %s whose status isn't that of a final response", id, r.request.Daemon)
 	case !result.Complete:
 		c.checkTruncated(r)
 	case result.ID != "" && result.ID != id:
 		c.addViolation("MIXED", "request %s received the response to request %s", id, result.ID)
 	case result.Status < http.StatusMultipleChoices && (result.Stamp != "stamp-"+id || result.Body != instance.Body):
 		c.addViolation("MIXED", "request %s received a success response that no server sent: stamp %q, %d bytes", id, result.Stamp, len(result.Body))
-	case !r.request.Route.Idempotent && meansNotExecuted(result.Status) && len(r.executions) > 0:
+	case r.refused() && len(r.executions) > 0:
 		c.addViolation("REFUSED", "request %s was refused with status %d although it was executed on %s", id, result.Status, r.executions[0].server.ID)
 	case result.Reason == string(daisygap.ReasonPoisoned):
 		c.addViolation("POISON", "request %s, which crashes no server, was blocked as one that does", id)
-	case result.Status == http.StatusBadRequest || result.Status == http.StatusUnauthorized || result.Status == http.StatusForbidden:
+	case result.Status == http.StatusBadRequest || result.Status == http.StatusForbidden:
 		c.addViolation("DENIED", "request %s was denied with status %d", id, result.Status)
 	}
 	if result.Complete {
 		c.checkNotFound(r)
+		c.checkUnknownKey(r)
+		c.checkOverAllowance(r)
 		r.noteDeparture()
 		r.noteLimit()
 	}
@@ -330,12 +350,22 @@
 // meansNotExecuted reports whether a response status guarantees that no server executed the request.
 func meansNotExecuted(status int) bool {
 	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+	case http.StatusUnauthorized, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		return true
 	}
 	return false
 }
 
+// refused reports whether the response promises that no server executed the request. A 401 and a 429 promise it for all
+// kinds, the others only for those that aren't idempotent: an attempt of an idempotent request may have run before.
+func (r *requestRecord) refused() bool {
+	switch r.result.Status {
+	case http.StatusUnauthorized, http.StatusTooManyRequests:
+		return true
+	}
+	return !r.request.Route.Idempotent && meansNotExecuted(r.result.Status)
+}
+
 // checkTruncated checks a request whose connection ended without a complete response. Around a planned stop of the
 // daemon, no executed request may be truncated, nor any request older than cutoffBound. Without a stop or fault of the
 // daemon, up to maxTruncated executed requests may.
--- a/internal/soak/promise/checker_test.go
+++ b/internal/soak/promise/checker_test.go
@@ -16,6 +16,11 @@
 var (
 	order = Route{Pool: "desk", Attempts: 2, Timeout: 2 * time.Second}
 	read  = Route{Pool: "stock", Idempotent: true, Attempts: 2, Timeout: 2 * time.Second}
+
+	public  = Route{Pool: "stock", Idempotent: true, Attempts: 2, Timeout: 2 * time.Second, Public: true}
+	held    = Key{Value: KeyPrefix + "held", Customer: "held"}
+	metered = Key{Value: KeyPrefix + "metered", Customer: "metered"}
+	unknown = Key{Value: KeyPrefix + "unknown"}
 )
 
 // scenario is a Checker with one server of each pool and short methods for the events of a request.
@@ -37,6 +42,42 @@
 	s.RequestSent(Request{ID: id, Path: "/" + id, Route: r, Daemon: "host", Sent: time.Now().Add(offset)})
 }
 
+// ask sends a request with a key where routes need one.
+func (s *scenario) ask(id string, r Route, k Key) {
+	s.NeedsKeys, s.Allowances = true, map[string]Allowance{metered.Customer: {Rate: 2, Burst: 3}}
+	s.RequestSent(Request{ID: id, Path: "/" + id, Route: r, Key: k, Daemon: "host", Sent: time.Now()})
+}
+
+// receive lets the server stock execute a request that bears these customers' names.
+func (s *scenario) receive(id string, customers ...string) {
+	s.receiveAt(s.stock, id, customers...)
+}
+
+func (s *scenario) receiveAt(server *Server, id string, customers ...string) {
+	s.RequestArrived(server, instance.Arrival{ID: id, Path: "/" + id, Executed: true, Header: http.Header{"Tenant": customers}})
+}
+
+// withdrawn returns the key of a generation that the next one withdrew some time ago.
+func (s *scenario) withdrawn(ago time.Duration) Key {
+	k := Key{Value: KeyPrefix + "old", Customer: held.Customer, Generation: s.RouteAdded()}
+	s.RouteAdded()
+	s.RouteRemoved(k.Generation)
+	s.generations[k.Generation].removed = time.Now().Add(-ago)
+	return k
+}
+
+// use sends n requests of the customer metered, with two attempts for the first.
+func (s *scenario) use(n int) {
+	s.RetrySlack = 100
+	for i := range n {
+		id := fmt.Sprint(i)
+		s.ask(id, read, metered)
+		s.receive(id, metered.Customer)
+		s.complete(id, 200)
+	}
+	s.receive("0", metered.Customer)
+}
+
 func (s *scenario) execute(id string, server *Server) {
 	s.RequestArrived(server, instance.Arrival{ID: id, Path: "/" + id, Executed: true})
 }
@@ -197,6 +238,78 @@
 			s.send("a", read, 0)
 			s.complete("a", 503)
 		}, []string{"RECOVER"}},
+		{"served with the customer's name", func(s *scenario) { s.ask("a", read, held); s.receive("a", "held"); s.complete("a", 200) }, nil},
+		{"key sent to a server", func(s *scenario) {
+			s.ask("a", read, held)
+			s.RequestArrived(s.stock, instance.Arrival{ID: "a", Path: "/a", Executed: true, Header: http.Header{"Tenant": {"held"}, "Authorization": {"Bearer " + held.Value}}})
+		}, []string{"KEY"}},
+		{"key in the path at a server", func(s *scenario) {
+			s.ask("a", read, held)
+			s.RequestArrived(s.stock, instance.Arrival{ID: "a", Path: "/a?" + held.Value, Header: http.Header{"Tenant": {"held"}}})
+		}, []string{"KEY"}},
+		{"another customer's name", func(s *scenario) { s.ask("a", read, held); s.receive("a", "other") }, []string{"TENANT"}},
+		{"no customer's name", func(s *scenario) { s.ask("a", read, held); s.receive("a") }, []string{"TENANT"}},
+		{"the caller's name beside that of the customer", func(s *scenario) { s.ask("a", read, held); s.receive("a", "held", "forged") }, []string{"TENANT"}},
+		{"public route without a key", func(s *scenario) { s.ask("a", public, Key{}); s.receive("a"); s.complete("a", 200) }, nil},
+		{"public route with the caller's name", func(s *scenario) { s.ask("a", public, Key{}); s.receive("a", "forged") }, []string{"TENANT"}},
+		{"key that no customer has, served", func(s *scenario) { s.ask("a", read, unknown); s.receive("a") }, []string{"KEY"}},
+		{"no key, served", func(s *scenario) { s.ask("a", read, Key{}); s.receive("a") }, []string{"KEY"}},
+		{"key that no customer has, refused", func(s *scenario) { s.ask("a", read, unknown); s.complete("a", 401) }, nil},
+		{"customer's key refused as unknown", func(s *scenario) { s.ask("a", read, held); s.complete("a", 401) }, []string{"DENIED"}},
+		{"public route refused without a key", func(s *scenario) { s.ask("a", public, Key{}); s.complete("a", 401) }, []string{"DENIED"}},
+		{"refused as unknown after execution", func(s *scenario) { s.ask("a", read, unknown); s.receive("a"); s.complete("a", 401) }, []string{"KEY", "REFUSED"}},
+		{"executed after refusal over the allowance", func(s *scenario) { s.ask("a", read, metered); s.complete("a", 429); s.receive("a", "metered") }, []string{"REFUSED"}},
+		{"upload executed twice", func(s *scenario) {
+			s.ask("a", order, held)
+			s.receiveAt(s.desk, "a", "held")
+			s.receiveAt(s.desk, "a", "held")
+		}, []string{"TWICE"}},
+		{"withdrawn key served", func(s *scenario) { s.ask("a", read, s.withdrawn(4*time.Second)); s.receive("a", "held") }, []string{"KEY"}},
+		{"withdrawn key served within the bound", func(s *scenario) { s.ask("a", read, s.withdrawn(2500*time.Millisecond)); s.receive("a", "held") }, nil},
+		{"withdrawn key served by a daemon that was cut off", func(s *scenario) {
+			s.Faults.Begin("host")()
+			s.ask("a", read, s.withdrawn(4*time.Second))
+			s.receive("a", "held")
+		}, nil},
+		{"withdrawn key served after a key of the newer configuration", func(s *scenario) {
+			old := s.withdrawn(time.Second)
+			s.ask("a", read, Key{Value: "b", Customer: "held", Generation: 2})
+			s.receive("a", "held")
+			s.newestServed["host/0"] = servedGeneration{2, ago(time.Second)}
+			s.ask("b", read, old)
+			s.receive("b", "held")
+		}, []string{"KEY"}},
+		{"withdrawn key refused", func(s *scenario) { s.ask("a", read, s.withdrawn(4*time.Second)); s.complete("a", 401) }, nil},
+		{"added key refused", func(s *scenario) {
+			s.withdrawn(time.Second)
+			s.generations[2].added = ago(4 * time.Second)
+			s.ask("a", read, Key{Value: "b", Customer: "held", Generation: 2})
+			s.complete("a", 401)
+		}, []string{"CONFIG"}},
+		{"allowance used up", func(s *scenario) { s.use(34) }, nil},
+		{"allowance exceeded", func(s *scenario) { s.use(35) }, []string{"ALLOWANCE"}},
+		{"refused over the allowance without a rate", func(s *scenario) {
+			s.ask("a", read, held)
+			s.RequestEnded("a", Result{Connected: true, Complete: true, Status: 429, Reason: string(daisygap.ReasonOverAllowance), Ended: time.Now()})
+		}, []string{"ALLOWANCE"}},
+		{"refused requests raise no retry budget", func(s *scenario) {
+			for i := range 100 {
+				s.ask(fmt.Sprint("refused", i), read, unknown)
+				s.complete(fmt.Sprint("refused", i), 401)
+			}
+			for i := range 4 {
+				id := fmt.Sprint(i)
+				s.ask(id, read, held)
+				s.receive(id, "held")
+				s.receive(id, "held")
+				s.complete(id, 200)
+			}
+		}, []string{"BUDGET"}},
+		{"invalid status", func(s *scenario) {
+			s.send("a", read, 0)
+			s.RequestEnded("a", Result{Connected: true, InvalidStatus: true, Ended: time.Now()})
+		}, []string{"STATUS"}},
+		{"process ended by itself", func(s *scenario) { s.ProcessEnded("host", "exit status 2") }, []string{"ALIVE"}},
 		{"stop failed", func(s *scenario) { s.StopFailed("host", time.Now(), http.ErrAbortHandler) }, []string{"STOP"}},
 	}
 	for _, tt := range tests {
--- a/internal/soak/promise/generation.go
+++ b/internal/soak/promise/generation.go
@@ -23,22 +23,26 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if number > 0 && number < len(c.generations) {
-		c.generations[number].removed = time.Now()
+		c.generations[number].removed, c.generations[number].removedBy = time.Now(), len(c.generations)-1
 	}
 }
 
 // checkServedGeneration records the newest generation whose route a daemon's process has served, and checks that it
 // doesn't serve a route long after the removal of the route.
 func (c *Checker) checkServedGeneration(r *requestRecord, now time.Time) {
-	if r.request.Route.Generation == 0 {
+	number := max(r.request.Route.Generation, r.request.Key.Generation)
+	if number == 0 {
 		return
 	}
 	if c.newestServed == nil {
 		c.newestServed = make(map[string]servedGeneration)
 	}
 	key := incarnationKey(r.request)
-	if r.request.Route.Generation > c.newestServed[key].number {
-		c.newestServed[key] = servedGeneration{r.request.Route.Generation, now}
+	if number > c.newestServed[key].number {
+		c.newestServed[key] = servedGeneration{number, now}
+	}
+	if r.request.Route.Generation == 0 {
+		return
 	}
 	g := c.generations[r.request.Route.Generation]
 	if since := r.request.Sent.Sub(g.removed); !g.removed.IsZero() && since > configBound && c.Faults.FaultFree(g.removed, now, r.request.Daemon) {
@@ -62,12 +66,17 @@
 		c.addViolation("DENIED", "%s found no route for request %s, although every configuration has it", r.request.Daemon, r.request.ID)
 		return
 	}
+	c.checkMissing(r, number, "route", configBound)
+}
+
+// checkMissing checks that the daemon may not know, or no longer know, what a generation added.
+func (c *Checker) checkMissing(r *requestRecord, number int, what string, bound time.Duration) {
 	g := c.generations[number]
 	if !g.removed.IsZero() {
 		return
 	}
-	if since := r.request.Sent.Sub(g.added); since > configBound && c.Faults.FaultFree(g.added, r.result.Ended, r.request.Daemon) {
-		c.addViolation("CONFIG", "%s found no route %v after it was added, request %s", r.request.Daemon, since, r.request.ID)
+	if since := r.request.Sent.Sub(g.added); since > bound && c.Faults.FaultFree(g.added, r.result.Ended, r.request.Daemon) {
+		c.addViolation("CONFIG", "%s found no %s %v after it was added, request %s", r.request.Daemon, what, since, r.request.ID)
 	}
 	last := c.newestServed[incarnationKey(r.request)]
 	if last.number >= number && r.request.Sent.Sub(last.at) > regressionBound {
--- a/internal/soak/promise/totals.go
+++ b/internal/soak/promise/totals.go
@@ -1,6 +1,7 @@
 package promise
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/daisygap/daisygap/internal/standin/instance"
@@ -65,6 +66,10 @@
 func (c *Checker) checkRetryBudgets() {
 	sent := make(map[string][]time.Time)
 	for _, r := range c.sent {
+		// Requests that are refused before a server is chosen must not raise the budget.
+		if r.result != nil && (r.result.Status == http.StatusUnauthorized || r.result.Status == http.StatusTooManyRequests) {
+			continue
+		}
 		sent[r.request.Route.Pool] = append(sent[r.request.Route.Pool], r.request.Sent)
 	}
 	for pool, arrivals := range c.arrivals {
--- a/internal/standin/client/caller.go
+++ b/internal/standin/client/caller.go
@@ -36,6 +36,11 @@
 	// longServiceTime is the service time of slow requests and of those that are canceled early. It is far above the
 	// 100 to 300 ms after which the latter are canceled.
 	longServiceTime = 1_500 * time.Millisecond
+	// meanUploadBytes and maxUploadBytes are the mean and the maximum size of the body of an upload.
+	meanUploadBytes = 60 << 10
+	maxUploadBytes  = 360 << 10
+	// forgedCustomer is the name in the header Tenant that every fourth request bears, which daemons must remove.
+	forgedCustomer = "forged"
 )
 
 // Entry is one daemon that callers can connect to.
@@ -58,6 +63,10 @@
 	// Weight is the relative share of this kind in the requests.
 	Weight int
 	Route  promise.Route
+	// Keys are the keys of the requests; each request carries one of them. Without any, requests carry no key.
+	Keys []promise.Key
+	// Upload marks kinds whose requests have large bodies.
+	Upload bool
 	// Slow marks kinds whose requests take longServiceTime to run.
 	Slow bool
 	// CancelsEarly marks kinds whose requests take longServiceTime and are canceled after 100 to 300 ms.
@@ -212,6 +221,12 @@
 	if k.Method == http.MethodPost {
 		request.Body = id
 	}
+	if k.Upload {
+		request.Body += strings.Repeat("u", min(maxUploadBytes-len(id), int(meanUploadBytes*c.Random.ExpFloat64())))
+	}
+	if len(k.Keys) > 0 {
+		request.Key = k.Keys[c.Random.IntN(len(k.Keys))]
+	}
 	c.Checker.RequestSent(request)
 	// The end of the run doesn't cancel requests in flight: they end at their own time-out.
 	requestCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
@@ -254,8 +269,15 @@
 	r.Header.Set("Request-Id", request.ID)
 	r.Header.Set("Deadline-Milliseconds", strconv.FormatInt(requestDeadline.Milliseconds(), 10))
 	r.Header.Set("Cookie", "Request-Affinity="+strconv.Itoa(object))
+	if request.Key.Value != "" {
+		r.Header.Set("Authorization", "Bearer "+request.Key.Value)
+	}
+	if c.Random.IntN(4) == 0 {
+		r.Header.Set("Tenant", forgedCustomer)
+	}
 	res, err := c.client.Send(ctx, r, false)
 	result.Connected = err == nil || !errors.Is(err, upstream.ErrNotSent)
+	result.InvalidStatus = errors.Is(err, upstream.ErrInvalidStatus)
 	if err != nil {
 		return result, 0, false
 	}
--- a/internal/standin/instance/fault.go
+++ b/internal/standin/instance/fault.go
@@ -59,6 +59,8 @@
 	BareStatus Fault = "bare status"
 	// CutHeader closes the connection within the header of a response, at another byte for each request.
 	CutHeader Fault = "cut header"
+	// InvalidStatus responds with status 000, 101 or 600.
+	InvalidStatus Fault = "invalid status"
 	// Crash stops the whole server.
 	Crash Fault = "crash"
 )
@@ -106,7 +108,7 @@
 		h.Set("Request-Id", "another")
 	case Encoded:
 		h.Set("Content-Encoding", "gzip")
-	case Lose, Cut, Unframed, UnframedCut, Extra, ExtraLate, Garbage, CutHeader, BareStatus:
+	case Lose, Cut, Unframed, UnframedCut, Extra, ExtraLate, Garbage, CutHeader, BareStatus, InvalidStatus:
 		s.respondRaw(w, run, f)
 		return
 	case EndlessHeader, EndlessLine, EndlessBody, EndlessChunk, EndlessError, EndlessExtra, SlowHeader:
@@ -151,6 +153,8 @@
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
 		time.Sleep(extraResponseDelay)
 		_, _ = io.WriteString(conn, framedResponse)
+	case InvalidStatus:
+		_, _ = io.WriteString(conn, strings.Replace(framedResponse, "200 OK", []string{"000 Zero", "101 Switching", "600 Beyond"}[s.cuts.Add(1)%3], 1))
 	case CutHeader:
 		whole := header + "\r\n"
 		_, _ = io.WriteString(conn, whole[:1+int(s.cuts.Add(1))%(len(whole)-1)])
--- a/internal/standin/instance/server.go
+++ b/internal/standin/instance/server.go
@@ -70,7 +70,7 @@
 	leaving  string
 	limit    string
 	sequence int
-	// cuts selects where CutHeader cuts, and the status of BareStatus.
+	// cuts selects where CutHeader cuts, and the status of BareStatus and InvalidStatus.
 	cuts            atomic.Int64
 	startedAtMillis int64
 	listener        net.Listener
