soak: check that no log contains a key

Keys must not appear in log lines, which the soak didn't check. At the end of a run the log of each daemon is searched for the prefix that all keys of a run have.

--- a/internal/soak/fault/run.go
+++ b/internal/soak/fault/run.go
@@ -88,6 +88,13 @@
 	callers.Wait()
 	sleep(ctx, settlePeriod)
 	r.deployment.checker.Close(r.deployment.serverRuns(), recoveredBy)
+	for _, h := range r.deployment.hosts {
+		log, err := h.Log()
+		if err != nil {
+			return Report{}, err
+		}
+		r.deployment.checker.CheckLog(h.Settings.Host, log)
+	}
 	return Report{
 		Seed: r.Seed, Count: r.deployment.checker.Counts(time.Time{}), FaultFree: r.deployment.checker.Counts(recoveredBy),
 		Faults: r.faults, Violations: r.deployment.checker.Violations(),
--- a/internal/soak/process/daemon.go
+++ b/internal/soak/process/daemon.go
@@ -49,7 +49,7 @@
 	if err := os.WriteFile(file, data, 0o600); err != nil {
 		return err
 	}
-	log, err := os.OpenFile(filepath.Join(d.Folder, d.Settings.Host+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(d.logFile(), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -80,6 +80,15 @@
 	}
 }
 
+// Log returns the log of all its processes so far.
+func (d *Daemon) Log() ([]byte, error) {
+	return os.ReadFile(d.logFile())
+}
+
+func (d *Daemon) logFile() string {
+	return filepath.Join(d.Folder, d.Settings.Host+".log")
+}
+
 // Incarnation returns the number of starts so far.
 func (d *Daemon) Incarnation() int {
 	d.mu.Lock()
--- a/internal/soak/promise/checker_test.go
+++ b/internal/soak/promise/checker_test.go
@@ -305,6 +305,8 @@
 				s.complete(id, 200)
 			}
 		}, []string{"BUDGET"}},
+		{"key in a log", func(s *scenario) { s.CheckLog("host", []byte("started\nrefused "+held.Value+"\n")) }, []string{"KEY"}},
+		{"log without a key", func(s *scenario) { s.CheckLog("host", []byte("started\n")) }, nil},
 		{"invalid status", func(s *scenario) {
 			s.send("a", read, 0)
 			s.RequestEnded("a", Result{Connected: true, InvalidStatus: true, Ended: time.Now()})
--- a/internal/soak/promise/customer.go
+++ b/internal/soak/promise/customer.go
@@ -1,6 +1,7 @@
 package promise
 
 import (
+	"bytes"
 	"net/http"
 	"slices"
 	"strings"
@@ -125,3 +126,15 @@
 	defer c.mu.Unlock()
 	c.addViolation("ALIVE", "the process of %s ended by itself: %s", daemon, state)
 }
+
+// CheckLog checks that a daemon's log contains no key.
+func (c *Checker) CheckLog(daemon string, log []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for line := range bytes.Lines(log) {
+		if bytes.Contains(line, []byte(KeyPrefix)) {
+			c.addViolation("KEY", "the log of %s contains a key: %s", daemon, bytes.TrimSpace(line))
+			return
+		}
+	}
+}
