--- a/internal/soak/promise/checker.go
+++ b/internal/soak/promise/checker.go
@@ -131,7 +131,7 @@
 	arrivals     map[string][]arrival
 	stops        map[string][]time.Time
 	// used holds when requests of the customers in Allowances first reached a server, in the last allowanceWindow.
-	used       map[string][]time.Time
+	used       map[string][]use
 	violations []string
 	truncated  int
 	overBudget int
--- a/internal/soak/promise/customer.go
+++ b/internal/soak/promise/customer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -21,6 +22,8 @@
 	allowanceWindow    = 5 * time.Second
 	allowanceOvershoot = 1.1
 	allowanceSlack     = 20
+	// delayedAfter is the time from a caller to a server from which on a violation counts a request as delayed.
+	delayedAfter = 500 * time.Millisecond
 )
 
 // Key is the customer's key that a request carries.
@@ -39,6 +42,12 @@
 	Burst float64
 }
 
+// use is a request that counts against an allowance, and when it first reached a server.
+type use struct {
+	at      time.Time
+	request Request
+}
+
 // checkCustomer checks the customer's name in a request that reached a server, and that the request contains no key.
 func (c *Checker) checkCustomer(s *Server, r *requestRecord, a instance.Arrival, now time.Time) {
 	for name, values := range a.Header {
@@ -99,17 +108,30 @@
 		return
 	}
 	if c.used == nil {
-		c.used = make(map[string][]time.Time)
+		c.used = make(map[string][]use)
 	}
-	used := append(c.used[name], now)
-	for now.Sub(used[0]) >= allowanceWindow {
+	used := append(c.used[name], use{now, r.request})
+	for now.Sub(used[0].at) >= allowanceWindow {
 		used = used[1:]
 	}
 	c.used[name] = used
 	allowed := int(allowanceOvershoot*(a.Rate*allowanceWindow.Seconds()+a.Burst) + allowanceSlack)
 	if len(used) == allowed+1 {
-		c.addViolation("ALLOWANCE", "servers received %d requests of customer %s in %v, at most %d allowed, last %s", len(used), name, allowanceWindow, allowed, r.request.ID)
+		c.addViolation("ALLOWANCE", "servers received %d requests of customer %s in %v, at most %d allowed, %s, last %s", len(used), name, allowanceWindow, allowed, describeUse(used), r.request.ID)
+	}
+}
+
+// describeUse returns the daemons that the requests came from, and how many of the requests were on their way for long, as
+// those that a fault of a link held back.
+func describeUse(used []use) string {
+	daemons, delayed := make(map[string]int), 0
+	for _, u := range used {
+		daemons[u.request.Daemon]++
+		if u.at.Sub(u.request.Sent) > delayedAfter {
+			delayed++
+		}
 	}
+	return fmt.Sprintf("%v, %d delayed by more than %v", daemons, delayed, delayedAfter)
 }
 
 // checkOverAllowance checks that only customers with a rate are refused for exceeding it.
