soak: check all windows of an allowance, flood at the specified load

A violated allowance was reported when a window crossed the bound, so that the excess was always one. All windows are now checked at the end, and the one with the most requests is reported.

Measured: the tests of internal/soak/promise pass with -race.

--- a/internal/soak/fault/customers.go
+++ b/internal/soak/fault/customers.go
@@ -17,9 +17,13 @@
 const (
 	// maxWithdrawn is the number of withdrawn keys that callers go on to use.
 	maxWithdrawn = 6
-	// floodDuration and floodFactor make a flood 3 to 8 times the customer's usual load, which is 0.6 of its rate.
+	// In a flood, a customer sends minFlood to maxFlood times its usual load, which is usualUse of its rate.
 	floodDuration = 6 * time.Second
-	floodFactor   = 4
+	minFlood      = 3.0
+	maxFlood      = 8.0
+	usualUse      = 0.6
+	// usualResponse is the usual time from a request to its response.
+	usualResponse = 45 * time.Millisecond
 	// hostileBodies is the number of bodies that holdBodies sends, each of hostileBytes without its last byte.
 	hostileBodies = 24
 	hostileBytes  = 128 << 10
@@ -105,7 +109,8 @@
 		i := r.random.IntN(len(domains))
 		where = domains[i : i+1]
 	}
-	r.logf("flood by customer %s in %v for %v", meteredKey.Customer, where, floodDuration)
+	rate := usualUse * meteredAllowance.Rate * (minFlood + (maxFlood-minFlood)*r.random.Float64())
+	r.logf("flood by customer %s in %v with %.0f requests per second for %v", meteredKey.Customer, where, rate, floodDuration)
 	kinds := func() []client.Kind {
 		var list []client.Kind
 		for _, k := range staticRequestKinds() {
@@ -116,7 +121,8 @@
 		return list
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), floodDuration)
-	group := r.startCallers(ctx, "flood", floodFactor*r.Callers, meanCallerInterval, where, kinds)
+	interval := max(time.Duration(float64(r.Callers)/rate*float64(time.Second))-usualResponse, time.Millisecond)
+	group := r.startCallers(ctx, "flood", r.Callers, interval, where, kinds)
 	r.group.Go(func() {
 		defer cancel()
 		group.Wait()
--- a/internal/soak/promise/checker.go
+++ b/internal/soak/promise/checker.go
@@ -130,7 +130,7 @@
 	newestServed map[string]servedGeneration
 	arrivals     map[string][]arrival
 	stops        map[string][]time.Time
-	// used holds when requests of the customers in Allowances first reached a server, in the last allowanceWindow.
+	// used holds when requests of the customers in Allowances first reached a server.
 	used       map[string][]use
 	violations []string
 	truncated  int
@@ -219,7 +219,7 @@
 	c.checkLimit(s, r, now)
 	c.checkCustomer(s, r, a, now)
 	c.checkKeyInForce(r, now)
-	c.checkAllowance(r, now)
+	c.countUse(r, now)
 	if a.Executed {
 		c.checkExecution(s, r, a, now)
 	}
--- a/internal/soak/promise/checker_test.go
+++ b/internal/soak/promise/checker_test.go
@@ -288,6 +288,21 @@
 		}, []string{"CONFIG"}},
 		{"allowance used up", func(s *scenario) { s.use(34) }, nil},
 		{"allowance exceeded", func(s *scenario) { s.use(35) }, []string{"ALLOWANCE"}},
+		{"allowance exceeded twice", func(s *scenario) {
+			s.use(35)
+			for i := range s.used["metered"] {
+				s.used["metered"][i].at = s.used["metered"][i].at.Add(-10 * time.Second)
+			}
+			s.use(40)
+		}, []string{"ALLOWANCE", "ALLOWANCE"}},
+		{"allowance exceeded by the edge of a window", func(s *scenario) {
+			s.use(35)
+			s.used["metered"][0].at = s.used["metered"][34].at.Add(time.Nanosecond - allowanceWindow)
+		}, []string{"ALLOWANCE"}},
+		{"allowance used up in a little over a window", func(s *scenario) {
+			s.use(35)
+			s.used["metered"][0].at = s.used["metered"][34].at.Add(-allowanceWindow)
+		}, nil},
 		{"refused over the allowance without a rate", func(s *scenario) {
 			s.ask("a", read, held)
 			s.RequestEnded("a", Result{Connected: true, Complete: true, Status: 429, Reason: string(daisygap.ReasonOverAllowance), Ended: time.Now()})
--- a/internal/soak/promise/customer.go
+++ b/internal/soak/promise/customer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -100,30 +99,47 @@
 	}
 }
 
-// checkAllowance counts a request that reached a server against its customer's allowance, once for all its attempts.
-func (c *Checker) checkAllowance(r *requestRecord, now time.Time) {
+// countUse counts a request that reached a server against its customer's allowance, once for all its attempts.
+func (c *Checker) countUse(r *requestRecord, now time.Time) {
 	name := r.request.Key.Customer
-	a, limited := c.Allowances[name]
-	if !limited || r.arrivals > 1 {
+	if _, limited := c.Allowances[name]; !limited || r.arrivals > 1 {
 		return
 	}
 	if c.used == nil {
 		c.used = make(map[string][]use)
 	}
-	used := append(c.used[name], use{now, r.request})
-	for now.Sub(used[0].at) >= allowanceWindow {
-		used = used[1:]
-	}
-	c.used[name] = used
-	allowed := int(allowanceOvershoot*(a.Rate*allowanceWindow.Seconds()+a.Burst) + allowanceSlack)
-	if len(used) == allowed+1 {
-		c.addViolation("ALLOWANCE", "servers received %d requests of customer %s in %v, at most %d allowed, %s, last %s", len(used), name, allowanceWindow, allowed, describeUse(used), r.request.ID)
+	c.used[name] = append(c.used[name], use{now, r.request})
+}
+
+// checkAllowances checks every allowanceWindow of each customer with a rate. Of the windows that overlap each other, the one
+// with the most requests is reported.
+func (c *Checker) checkAllowances() {
+	for name, a := range c.Allowances {
+		allowed := int(allowanceOvershoot*(a.Rate*allowanceWindow.Seconds()+a.Burst) + allowanceSlack)
+		used, from := c.used[name], 0
+		var worst []use
+		for i, u := range used {
+			for u.at.Sub(used[from].at) >= allowanceWindow {
+				from++
+			}
+			window := used[from : i+1]
+			if len(worst) > 0 && window[0].at.After(worst[len(worst)-1].at) {
+				c.reportAllowance(name, worst, allowed)
+				worst = nil
+			}
+			if len(window) > max(allowed, len(worst)) {
+				worst = window
+			}
+		}
+		if len(worst) > 0 {
+			c.reportAllowance(name, worst, allowed)
+		}
 	}
 }
 
-// describeUse returns the daemons that the requests came from, and how many of the requests were on their way for long, as
-// those that a fault of a link held back.
-func describeUse(used []use) string {
+// reportAllowance adds a violation that names where the requests came from, and how many of them were on their way for
+// long, as those that a fault of a link held back.
+func (c *Checker) reportAllowance(name string, used []use, allowed int) {
 	daemons, delayed := make(map[string]int), 0
 	for _, u := range used {
 		daemons[u.request.Daemon]++
@@ -131,7 +147,9 @@
 			delayed++
 		}
 	}
-	return fmt.Sprintf("%v, %d delayed by more than %v", daemons, delayed, delayedAfter)
+	last := used[len(used)-1]
+	c.addViolation("ALLOWANCE", "servers received %d requests of customer %s in %v, at most %d allowed, %v, %d delayed by more than %v, last %s at %s",
+		len(used), name, allowanceWindow, allowed, daemons, delayed, delayedAfter, last.request.ID, last.at.Format("15:04:05.000"))
 }
 
 // checkOverAllowance checks that only customers with a rate are refused for exceeding it.
--- a/internal/soak/promise/totals.go
+++ b/internal/soak/promise/totals.go
@@ -57,6 +57,7 @@
 	}
 	c.checkRetryBudgets()
 	c.checkTimeouts()
+	c.checkAllowances()
 	c.checkCanceled(runs)
 }
 
