soak: a refusal that promises that a request hasn't run holds for all kinds

For idempotent requests the checker accepted a 503 after the request had run. The statuses 401, 408, 421, 429 and 503 promise the same for all kinds.

--- a/internal/soak/promise/checker.go
+++ b/internal/soak/promise/checker.go
@@ -233,7 +233,7 @@
 		c.addViolation("UNASKED", "request %s was modified on its way to the server: path %s", a.ID, a.Path)
 	case !r.request.Route.Idempotent && len(r.executions) > 1:
 		c.addViolation("TWICE", "non-idempotent request %s was executed %d times, last on %s", a.ID, len(r.executions), s.ID)
-	case r.result != nil && r.refused():
+	case r.result != nil && meansNotExecuted(r.result.Status):
 		c.addViolation("REFUSED", "request %s was executed on %s after it had been refused with status %d", a.ID, s.ID, r.result.Status)
 	case r.request.Route.Pool != s.Pool:
 		c.addViolation("ROUTE", "request %s for pool %s was executed on %s of pool %s", a.ID, r.request.Route.Pool, s.ID, s.Pool)
@@ -331,7 +331,7 @@
 		c.addViolation("MIXED", "request %s received the response to request %s", id, result.ID)
 	case result.Status < http.StatusMultipleChoices && (result.Stamp != "stamp-"+id || result.Body != instance.Body):
 		c.addViolation("MIXED", "request %s received a success response that no server sent: stamp %q, %d bytes", id, result.Stamp, len(result.Body))
-	case r.refused() && len(r.executions) > 0:
+	case meansNotExecuted(result.Status) && len(r.executions) > 0:
 		c.addViolation("REFUSED", "request %s was refused with status %d although it was executed on %s", id, result.Status, r.executions[0].server.ID)
 	case result.Reason == string(daisygap.ReasonPoisoned):
 		c.addViolation("POISON", "request %s, which crashes no server, was blocked as one that does", id)
@@ -356,16 +356,6 @@
 	return false
 }
 
-// refused reports whether the response promises that no server executed the request. A 401 and a 429 promise it for all
-// kinds, the others only for those that aren't idempotent: an attempt of an idempotent request may have run before.
-func (r *requestRecord) refused() bool {
-	switch r.result.Status {
-	case http.StatusUnauthorized, http.StatusTooManyRequests:
-		return true
-	}
-	return !r.request.Route.Idempotent && meansNotExecuted(r.result.Status)
-}
-
 // checkTruncated checks a request whose connection ended without a complete response. Around a planned stop of the
 // daemon, no executed request may be truncated, nor any request older than cutoffBound. Without a stop or fault of the
 // daemon, up to maxTruncated executed requests may.
--- a/internal/soak/promise/checker_test.go
+++ b/internal/soak/promise/checker_test.go
@@ -116,6 +116,7 @@
 		{"non-idempotent request executed twice", func(s *scenario) { s.send("a", order, 0); s.execute("a", s.desk); s.execute("a", s.desk) }, []string{"TWICE"}},
 		{"idempotent request executed twice", func(s *scenario) { s.send("a", read, 0); s.execute("a", s.stock); s.execute("a", s.stock) }, nil},
 		{"refused after execution", func(s *scenario) { s.send("a", order, 0); s.execute("a", s.desk); s.complete("a", 503) }, []string{"REFUSED"}},
+		{"idempotent request refused after execution", func(s *scenario) { s.send("a", read, 0); s.execute("a", s.stock); s.complete("a", 503) }, []string{"REFUSED"}},
 		{"executed after refusal", func(s *scenario) { s.send("a", order, 0); s.complete("a", 503); s.execute("a", s.desk) }, []string{"REFUSED"}},
 		{"failed after execution", func(s *scenario) { s.send("a", order, 0); s.execute("a", s.desk); s.complete("a", 502) }, nil},
 		{"response to another request", func(s *scenario) {
