allowance: a customer in debt is limited by the peak of its demand

A flood that pauses was admitted again until it was reported, since the fraction followed the low demand of the pause.

--- a/internal/policy/allowance/ledger.go
+++ b/internal/policy/allowance/ledger.go
@@ -13,6 +13,8 @@
 	minDemandPeriod = daisygap.Millis(500)
 	maxDemandPeriod = daisygap.Millis(1_000)
 	demandTokens    = 2
+	// peakPeriod is the time over which the peak of the demand decays.
+	peakPeriod = daisygap.Millis(5_000)
 	// settlePeriod is the time in seconds in which tokens that were saved up are used, and debtPeriod the one in which a negative level is
 	// made good. The shorter it is, the more of an excess is made good within the 5 s for which the bound holds.
 	settlePeriod = 1.0
@@ -79,7 +81,9 @@
 	// level is the number of tokens. It is negative if more requests were admitted.
 	level float64
 	// demand is the moving average of the arriving requests per second.
-	demand     float64
+	demand float64
+	// peak is the highest demand lately. It decays over peakPeriod.
+	peak       float64
 	updatedAt  daisygap.Millis
 	reportedAt daisygap.Millis
 }
@@ -128,6 +132,7 @@
 		b.reportedAt = now
 		b.level = max(b.level-float64(u.Admitted), -maxDebt*c.Rate)
 		b.demand += float64(max(u.Admitted+u.Refused, 0)) * 1_000 / float64(demandPeriod(c))
+		b.peak = max(b.peak, b.demand)
 	}
 	for _, u := range r.Uses {
 		l.limit(s, u.Customer, part, now)
@@ -200,12 +205,17 @@
 		return
 	}
 	b.update(c, part, now)
+	demand := b.demand
+	if b.level < 0 && c.Rate > smallRate {
+		// A flood that pauses would otherwise be admitted again until it is reported.
+		demand = b.peak
+	}
 	granted := max(0, c.Rate*part+max(b.level, 0)/settlePeriod+min(b.level, 0)/debtPeriod)
 	threshold := limitBelow
 	if s.limited[id] {
 		threshold = openAt
 	}
-	if granted >= threshold*b.demand {
+	if granted >= threshold*demand {
 		if s.limited[id] {
 			delete(s.limited, id)
 			l.noteChange(c, b, false)
@@ -218,7 +228,7 @@
 		l.noteChange(c, b, true)
 	}
 	// A fraction just below 1 doesn't yet end the limit.
-	fraction := min(math.Round(granted/b.demand*10_000)/10_000, 0.9999)
+	fraction := min(math.Round(granted/demand*10_000)/10_000, 0.9999)
 	backlog := max(0, 1-b.level) + max(0, b.demand-granted)
 	wait := min(backlog/c.Rate*1_000, float64(maxRetryAfter))
 	s.board.set(daisygap.AllowanceLimit{Customer: id, Fraction: fraction, Wait: daisygap.Millis(math.Ceil(wait))}, now)
@@ -247,6 +257,7 @@
 	depth := max(c.Burst, minDepth, minDepthPeriod*c.Rate)
 	b.level = min(depth*part, b.level+c.Rate*part*float64(now-b.updatedAt)/1_000)
 	b.demand *= decayOf(now-b.updatedAt, demandPeriod(c))
+	b.peak = max(b.demand, b.peak*decayOf(now-b.updatedAt, peakPeriod))
 	b.updatedAt = now
 }
 
