--- a/internal/soak/fault/faults.go
+++ b/internal/soak/fault/faults.go
@@ -34,7 +34,7 @@
 	{"peer link", 5, func(r *Run) { r.impairDaemonLink(func(h *host) *link.Proxy { return h.peerLink }) }},
 	{"caller link", 3, func(r *Run) { r.impairDaemonLink(func(h *host) *link.Proxy { return h.callerLink }) }},
 	{"server link", 5, (*Run).impairServerLink},
-	{"server fault", 9, (*Run).failServer},
+	{"server fault", 9, func(r *Run) { r.failServer(serverFaults) }},
 	{"limit", 5, (*Run).limitServers},
 	{"crash", 5, (*Run).crashServer},
 	{"drain", 6, (*Run).drainServer},
@@ -45,6 +45,7 @@
 	{"rotate keys", 4, func(r *Run) { r.writeConfigurations(2) }},
 	{"flood", 5, (*Run).floodByCustomer},
 	{"bodies", 4, (*Run).holdBodies},
+	{"invalid status", 5, func(r *Run) { r.failServer([]instance.Fault{instance.InvalidStatus}) }},
 }
 
 // runFault calls do in the background, and records a fault of the scope (see promise.FaultHistory.Begin) until do
@@ -210,12 +211,14 @@
 	proxy.SetImpairment(link.Impairment{})
 }
 
-// failServer makes a random server shed requests, or fail, truncate, corrupt or withhold its responses for a while.
-func (r *Run) failServer() {
-	faults := []instance.Fault{
-		instance.Shed, instance.Fail, instance.Lose, instance.Cut, instance.Unframed, instance.UnframedCut,
-		instance.Extra, instance.ExtraLate, instance.NoStamp, instance.WrongID, instance.Encoded, instance.Garbage, instance.Silent, instance.InvalidStatus, instance.InvalidStatus,
-	}
+// serverFaults are the faults of a server that the fault "server fault" chooses from.
+var serverFaults = []instance.Fault{
+	instance.Shed, instance.Fail, instance.Lose, instance.Cut, instance.Unframed, instance.UnframedCut,
+	instance.Extra, instance.ExtraLate, instance.NoStamp, instance.WrongID, instance.Encoded, instance.Garbage, instance.Silent,
+}
+
+// failServer makes a random server misbehave by one of the faults for a while.
+func (r *Run) failServer(faults []instance.Fault) {
 	s, f, duration := r.deployment.randomServer(r.random), faults[r.random.IntN(len(faults))], r.randomDuration(500*time.Millisecond, 5*time.Second)
 	r.logf("server fault of %s: %s for %v", s.ID, f, duration)
 	r.runFault(s.ID, func() {
