--- a/internal/policy/placement/homing.go
+++ b/internal/policy/placement/homing.go
@@ -16,6 +16,9 @@
 	minDomainUpstreams = 8
 	// minKeptUpstreams is the number below which a region whose domains had owners of their own goes back to one owner for all of them.
 	minKeptUpstreams = minDomainUpstreams / 2
+	// maxOwningDomains is the largest number of domains of a region that have owners of their own. Each domain more adds a first, slow request for
+	// each object.
+	maxOwningDomains = 2
 	// maxObjectsMargin is by how much the estimated number of objects must exceed what the upstreams of a domain can keep before the region
 	// goes back to one owner, since the estimate is rough.
 	maxObjectsMargin = 1.5
@@ -66,12 +69,12 @@
 			p.localShare = p.initialLocalShare()
 		}
 	}
-	smallest := p.smallestDomain()
+	smallest, domains := p.smallestDomain()
 	limit, kept := minDomainUpstreams, float64(objectsPerUpstream*smallest)
 	if h.byDomain {
 		limit, kept = minKeptUpstreams, maxObjectsMargin*kept
 	}
-	h.byDomain = h.active && smallest >= limit && float64(p.objects.estimate()) <= kept
+	h.byDomain = h.active && domains <= maxOwningDomains && smallest >= limit && float64(p.objects.estimate()) <= kept
 	if !h.byDomain {
 		h.domainShare = 0
 	}
@@ -108,21 +111,20 @@
 	}
 }
 
-// smallestDomain returns the number of upstreams in the smallest domain of this daemon's region.
-func (p *Pool) smallestDomain() int {
+// smallestDomain returns the number of upstreams in the smallest domain of this daemon's region, and the number of its domains.
+func (p *Pool) smallestDomain() (smallest, domains int) {
 	counts := make(map[string]int)
 	for _, u := range p.upstreams {
 		if u.Region == p.Region {
 			counts[u.Domain]++
 		}
 	}
-	smallest := 0
 	for _, n := range counts {
 		if smallest == 0 || n < smallest {
 			smallest = n
 		}
 	}
-	return smallest
+	return smallest, len(counts)
 }
 
 // initialLocalShare returns the fraction of the objects that this region can serve without being busier than the others, if each region has
--- a/internal/policy/placement/homing_test.go
+++ b/internal/policy/placement/homing_test.go
@@ -138,6 +138,20 @@
 	}
 }
 
+// TestManyDomainsShareOwners guards against a first, slow request for each object in each of many domains.
+func TestManyDomainsShareOwners(t *testing.T) {
+	f := newFleet("a", "n-1")
+	f.Regions = map[string]string{"n-1": "north", "n-2": "north", "n-3": "north", "s-1": "south"}
+	var list []daisygap.Instance
+	for domain := range f.Regions {
+		list = append(list, instances(domain, 20, 4)...)
+	}
+	f.Replace(limits, list, nil, 0)
+	if p := f.Pool("p"); !p.homing.active || p.homing.byDomain {
+		t.Errorf("%+v in a region of three domains, want one owner for all", p.homing)
+	}
+}
+
 // TestPoolInUseKeepsItsShare guards against a jump of the objects to another region when a pool grows to the size from which on they are served at
 // home, and against daemons that disagree about owners after it has shrunk.
 func TestPoolInUseKeepsItsShare(t *testing.T) {
