soak: held bodies are written with the platform's own function

The soak spelled the platform's header names itself, which only platform/ and the stand-ins for its servers should know. It now uses platform.WriteCallerHead, as the load command does. internal/soak passes; the requests are the same.

--- a/internal/soak/fault/customers.go
+++ b/internal/soak/fault/customers.go
@@ -1,6 +1,7 @@
 package fault
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -9,9 +10,11 @@
 	"strings"
 	"time"
 
+	"github.com/daisygap/daisygap"
 	"github.com/daisygap/daisygap/internal/soak/promise"
 	"github.com/daisygap/daisygap/internal/standin/client"
 	"github.com/daisygap/daisygap/internal/standin/site"
+	"github.com/daisygap/daisygap/platform"
 )
 
 const (
@@ -153,9 +156,13 @@
 	if number%4 > 1 {
 		framing, end = "Transfer-Encoding: chunked", fmt.Sprintf("%x;extension=1\r\n", hostileBytes)
 	}
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: held-%d\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n%s%s",
-		path, site.Host, number, key.Value, framing, end, strings.Repeat("b", hostileBytes-1))
-	if err == nil {
+	head := make(http.Header)
+	platform.WriteCallerHead(head, daisygap.RequestHead{ID: fmt.Sprintf("held-%d", number), Key: daisygap.CustomerKey(key.Value)})
+	var request bytes.Buffer
+	_, _ = fmt.Fprintf(&request, "POST %s HTTP/1.1\r\nHost: %s\r\n", path, site.Host)
+	_ = head.Write(&request)
+	_, _ = fmt.Fprintf(&request, "%s\r\n\r\n%s%s", framing, end, strings.Repeat("b", hostileBytes-1))
+	if _, err = conn.Write(request.Bytes()); err == nil {
 		_, _ = io.Copy(io.Discard, conn)
 	}
 }
