Comments of the allowances, versions and checks in plain terms

Reviewers stumbled over verbs such as hears, tells, learns and knows of. The comments now name the message, the field or the time. No code changes; build, vet and the tests of internal/policy/validation pass.

--- a/allowance.go
+++ b/allowance.go
@@ -2,14 +2,14 @@
 
 import "context"
 
-// AllowanceReport tells another daemon what became of the requests of customers with a rate. A daemon reports to the relay of its group,
+// AllowanceReport counts the admitted and refused requests of customers with a rate. A daemon sends it to the relay of its group,
 // and a relay reports the sums of its group to the coordinator of each slot.
 type AllowanceReport struct {
 	// From is the name of the reporting daemon.
 	From string `json:"f"`
 	// Slots is the number of slots among which the sender distributes the customers.
 	Slots int `json:"n"`
-	// Heard is the number of daemons from which the sending relay heard lately. It is 0 in the report of a daemon to its relay.
+	// Heard is the number of daemons that recently reported to the sending relay. It is 0 in the report of a daemon to its relay.
 	Heard int `json:"h,omitempty"`
 	// Slot is the slot that a relay reports on.
 	Slot int `json:"s,omitempty"`
--- a/internal/daemon/steer/version.go
+++ b/internal/daemon/steer/version.go
@@ -33,7 +33,7 @@
 // from a copy.
 type versions struct {
 	mu sync.Mutex
-	// heard is the newest version of another daemon's heartbeat, and behindSince when it was first newer than the own one, or 0.
+	// heard is the newest version in another daemon's heartbeat, and behindSince when it was first newer than the own one, or 0.
 	heard       uint64
 	behindSince daisygap.Millis
 	// heldSince is when the first configuration was held back, or 0. asking and asked are set when other daemons are asked for theirs and when
@@ -85,7 +85,7 @@
 }
 
 // holdsBack reports whether a starting daemon waits for a newer version than its first one; the caller holds the replica's lock. Without
-// customers it waits only if it has heard of one.
+// customers it waits only if a heartbeat contained one.
 func (d *Daemon) holdsBack(c *daisygap.SteeringConfig, now daisygap.Millis) bool {
 	v := &d.versions
 	contacts := d.hasContacts()
@@ -104,7 +104,7 @@
 	return false
 }
 
-// hasContacts reports whether this daemon knows of others, alive or not.
+// hasContacts reports whether the store, the settings or the gossip name other daemons, alive or not.
 func (d *Daemon) hasContacts() bool {
 	d.membership.mu.Lock()
 	defer d.membership.mu.Unlock()
--- a/internal/policy/allowance/alternative_test.go
+++ b/internal/policy/allowance/alternative_test.go
@@ -109,7 +109,7 @@
 func (a *ownerLeases) sent() (messages, bytes int) { return a.messages, a.bytes }
 
 // gossipedCounts spreads the counts of admitted requests to two random daemons every 400 ms. Each daemon keeps a bucket of the whole rate
-// and takes what it hears of from it.
+// and withdraws the requests in the received counts from it.
 type gossipedCounts struct {
 	c               *daisygap.Customer
 	buckets         []tokens
--- a/internal/policy/allowance/board.go
+++ b/internal/policy/allowance/board.go
@@ -36,7 +36,7 @@
 func (b *board) set(limit daisygap.AllowanceLimit, now daisygap.Millis) {
 	if b.entries == nil {
 		b.entries = make(map[uint64]*boardEntry)
-		// A random start tells the versions of a restarted daemon from those before. JSON keeps integers below 2^53.
+		// A random start makes the versions of a restarted daemon differ from those before. JSON keeps integers below 2^53.
 		b.version = uint64(rand.Uint32()) << 16
 		b.complete = b.version
 	}
--- a/internal/policy/allowance/ledger.go
+++ b/internal/policy/allowance/ledger.go
@@ -50,7 +50,7 @@
 	changes   []Change
 }
 
-// Change tells that a customer became limited or open again.
+// Change reports that a customer became limited or open again.
 type Change struct {
 	Customer string
 	Limited  bool
@@ -70,7 +70,7 @@
 	prunedAt daisygap.Millis
 }
 
-// relayState is the last report of a relay: when it came, and the number of daemons in its group that the relay heard from.
+// relayState is the last report of a relay: when it arrived, and the number of daemons in its group that recently reported.
 type relayState struct {
 	at    daisygap.Millis
 	heard int
--- a/internal/policy/allowance/limiter.go
+++ b/internal/policy/allowance/limiter.go
@@ -167,7 +167,7 @@
 	return a
 }
 
-// modeOf returns how the requests of a customer are admitted, by when the coordinator of its slot was last heard of.
+// modeOf returns how the requests of a customer are admitted, by the time since the last reply of its slot's coordinator.
 func (l *Limiter) modeOf(a *account, c *daisygap.Customer, now daisygap.Millis) mode {
 	if l.slots == 0 || !l.link.isLate(now) && len(l.silent) == 0 && len(l.late) == 0 {
 		return byFraction
--- a/internal/policy/allowance/relay.go
+++ b/internal/policy/allowance/relay.go
@@ -18,21 +18,21 @@
 
 	mu      sync.Mutex
 	daemons int
-	// groups holds a group by its number of slots. Daemons that just learned of others differ in that number for a moment.
+	// groups holds a group by its number of slots. While the set of daemons changes, their numbers differ for a moment.
 	groups map[int]*group
 }
 
 // SlotKey names one of a number of slots.
 type SlotKey struct{ Slot, Slots int }
 
-// group is what a relay knows of the daemons that report to it with one number of slots.
+// group holds the daemons that report to a relay with one number of slots, and their reports.
 type group struct {
 	heard map[string]daisygap.Millis
 	slots []relaySlot
 	board board
 }
 
-// relaySlot is what a relay knows of one slot.
+// relaySlot holds the reports and the limits of one slot.
 type relaySlot struct {
 	link    link
 	waiting map[uint64]daisygap.AllowanceUse
@@ -191,7 +191,7 @@
 	g.endLimits(s, now)
 }
 
-// keepLimits is how long the limits of another coordinator stay in force. A new one learns of the demand from the first reports.
+// keepLimits is how long the limits of another coordinator stay in force. A new one gets the demand with the first reports.
 const keepLimits = daisygap.Millis(1_000)
 
 // endUnlisted lets the limits of a slot that a full list doesn't contain end after keepLimits.
--- a/internal/policy/allowance/simulation_test.go
+++ b/internal/policy/allowance/simulation_test.go
@@ -106,7 +106,7 @@
 	return s
 }
 
-// start starts the process of a daemon that knows of a number of daemons in the store.
+// start starts the process of a daemon, with a number of daemons in the store.
 func (s *simulation) start(d *simDaemon, known int) {
 	d.dead, d.startedAt, d.nextView, d.coordinators = false, s.now, 0, &Coordinators{}
 	d.incarnation++
@@ -145,7 +145,7 @@
 	return !slices.ContainsFunc(s.daemons, func(d *simDaemon) bool { return d.dead })
 }
 
-// updateView sets the live daemons as gossip tells them: 3 s after the last contact in a region and 8 s between regions.
+// updateView sets the live daemons as gossip would: 3 s after the last contact in a region and 8 s between regions.
 func (s *simulation) updateView(d *simDaemon) {
 	if s.cut == nil && s.allAlive() {
 		d.peers = s.everyone
--- a/internal/policy/allowance/slots.go
+++ b/internal/policy/allowance/slots.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// oneSlot is the number of daemons up to which there is one slot, whose coordinator hears from each daemon directly.
+	// oneSlot is the number of daemons up to which there is one slot, whose coordinator is also the relay of all daemons.
 	oneSlot = 16
 	// minReportInterval and minRelayInterval are the shortest times between two regular reports of a daemon to its relay, and of a relay
 	// to the coordinator of a slot. In larger fleets the intervals grow, so that a coordinator receives at most about
@@ -61,7 +61,7 @@
 	return max(minRelayInterval, daisygap.Millis(Slots(daemons)*1_000/relayReportsPerSecond))
 }
 
-// heardPeriod is how long a daemon counts as heard from after a report to its relay, and relayHeardPeriod the same for a relay and a
+// heardPeriod is how long a daemon counts as reporting after a report to its relay, and relayHeardPeriod the same for a relay and a
 // coordinator. They cover the loss of a report.
 func heardPeriod(daemons int) daisygap.Millis {
 	return 2*reportInterval(daemons) + heardMargin
--- a/internal/policy/placement/homing.go
+++ b/internal/policy/placement/homing.go
@@ -44,7 +44,7 @@
 )
 
 // homing decides which objects are served in the region of their callers, and whether its domains have owners of their own. It is used in
-// large pools, whose daemons see each object too rarely to learn it from their own requests.
+// large pools, whose daemons see each object too rarely to decide from their own requests.
 type homing struct {
 	active bool
 	// byDomain is set if the domains of this daemon's region may have owners of their own, and domainShare is the fraction of the objects for
--- a/internal/policy/placement/speed.go
+++ b/internal/policy/placement/speed.go
@@ -16,7 +16,7 @@
 	// minObjectWeight and maxObjectWeight bound an upstream's weight in the hashing of objects.
 	minObjectWeight = 0.25
 	maxObjectWeight = 2
-	// minSlotsRatio is the smallest fraction of its slots that an upstream fills which slows down under load. Loads are told apart only
+	// minSlotsRatio is the smallest fraction of its slots that an upstream fills which slows down under load. Loads are distinguished only
 	// by whether more than half of the slots are in use.
 	minSlotsRatio = 0.5
 	// weightExponent relates the weight of an upstream to the part of its factor beyond evenFactor. The weight is continuous there, and
--- a/internal/policy/validation/steering.go
+++ b/internal/policy/validation/steering.go
@@ -9,7 +9,7 @@
 	"github.com/daisygap/daisygap"
 )
 
-// The round trips that a target latency must exceed: twice the 8 ms that a caller is away from its daemon at most, and twice the 35 ms
+// The round trips that a target latency must exceed: twice the 8 ms of the longest way between a caller and its daemon, and twice the 35 ms
 // between regions.
 const (
 	callerRoundTrip = daisygap.Millis(16)
