placement: the first share of a route differs by one step

The local share was raised before the first shares of routes followed from it, so that a route could change by both steps in one tick (0.50 to 0.56). The test compared from the second share on and missed a jump at the first; it now compares with what was in force, and fails both with the jump put back and with the former order.

--- a/internal/policy/placement/homing_test.go
+++ b/internal/policy/placement/homing_test.go
@@ -66,9 +66,9 @@
 		}
 		if now%TickInterval == 0 {
 			p.localShare = 0.5
-			before := p.homing.shares["tight"]
+			before := p.localShareOf(tight)
 			p.Tick(now)
-			if after := p.homing.shares["tight"]; before > 0 && after-before > routeShareStep+0.001 {
+			if after := p.localShareOf(tight); after-before > routeShareStep+0.001 {
 				t.Errorf("the share changed from %.2f to %.2f in one tick", before, after)
 			}
 		}
--- a/internal/policy/placement/locality.go
+++ b/internal/policy/placement/locality.go
@@ -40,9 +40,10 @@
 	local, remote, both := p.updateUtilization(now)
 	// Without requests, the utilization says nothing.
 	if both && p.homing.active && p.objects.estimate() > 0 {
+		// Before the local share changes, so that the first share of a route differs from it by one step only.
+		p.updateRouteShares()
 		p.adjustLocalShare(local, remote)
 		p.adjustDomainShare(local)
-		p.updateRouteShares()
 	}
 	switch {
 	case !both:
