--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -215,10 +215,10 @@
 	return nil
 }
 
-// namesAll reports whether a daemon's directory names all daemons, to which clients connect.
+// namesAll reports whether a daemon's directory names all daemons of its zone, to which clients connect.
 func (r *rig) namesAll(d *daemon) bool {
 	named, err := resolve(d, regions[d.zone], d.zone)
-	return err == nil && !slices.ContainsFunc(r.daemons, func(o *daemon) bool { return !slices.Contains(named, o.front) })
+	return err == nil && !slices.ContainsFunc(r.daemons, func(o *daemon) bool { return o.zone == d.zone && !slices.Contains(named, o.front) })
 }
 
 func (d *daemon) kill() {
