--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -26,6 +26,8 @@
 	site    *site.Site
 	stop    context.CancelFunc
 	ctx     context.Context
+	// customers are the tenants of the configuration, which are set before start.
+	customers []site.Customer
 
 	mu      sync.Mutex
 	out     *os.File
@@ -88,7 +90,7 @@
 
 // start starts the store with a configuration, registers the servers and starts daemons in the zones.
 func (r *rig) start(routes []site.Route, servers []*server, zones ...string) error {
-	r.site = &site.Site{Regions: regions, Routes: routes}
+	r.site = &site.Site{Regions: regions, Routes: routes, Customers: r.customers}
 	if err := r.site.Run(); err != nil {
 		return err
 	}
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -40,12 +40,11 @@
 	runs     []serverRun
 }
 
-// serverRun is one request that a server ran.
+// serverRun is one request that a server ran. It was at work until it had written its answer.
 type serverRun struct {
-	id      string
-	at      time.Time
-	brokeAt time.Time
-	status  int
+	id        string
+	at        time.Time
+	writtenAt time.Time
 }
 
 // serverConn is a connection to a server.
@@ -169,7 +168,7 @@
 	}
 	s.mu.Lock()
 	run := len(s.runs)
-	s.runs = append(s.runs, serverRun{id: id, at: time.Now(), status: http.StatusOK})
+	s.runs = append(s.runs, serverRun{id: id, at: time.Now()})
 	s.mu.Unlock()
 	s.rig.record("%s runs %s", s.id, id)
 	if s.before != nil {
@@ -178,15 +177,21 @@
 	// A byte or the end of the connection while the request runs.
 	_ = c.SetReadDeadline(time.Now().Add(work))
 	if _, err := c.in.Peek(1); err != nil && !isTimeout(err) {
-		s.mu.Lock()
-		s.runs[run].brokeAt = time.Now()
-		s.mu.Unlock()
 		s.rig.record("%s was at work on %s when its connection ended", s.id, id)
 		return errBroken
 	}
 	_ = c.SetReadDeadline(time.Time{})
 	body := "the answer to " + id
+	if size, err := strconv.Atoi(req.URL.Query().Get("bytes")); err == nil {
+		body = strings.Repeat("x", size)
+	}
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: stamp-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
+	if err == nil {
+		s.mu.Lock()
+		s.runs[run].writtenAt = time.Now()
+		s.mu.Unlock()
+		s.rig.record("%s has written the answer to %s", s.id, id)
+	}
 	return err
 }
 
