--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -29,6 +29,9 @@
 	// customers are the tenants of the configuration, which are set before start.
 	customers []site.Customer
 
+	// starting is held while a process is started, and from the end of the rig on.
+	starting sync.Mutex
+
 	mu      sync.Mutex
 	out     *os.File
 	daemons []*daemon
@@ -69,9 +72,11 @@
 	_, _ = fmt.Fprintf(r.out, "%8.3f %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, values...))
 }
 
-// close ends all processes that the rig started.
+// close ends all processes that the rig started. None is started after it.
 func (r *rig) close() {
 	r.stop()
+	r.starting.Lock()
+	defer r.starting.Unlock()
 	for _, d := range r.daemons {
 		d.kill()
 	}
@@ -148,6 +153,11 @@
 
 // startDaemon starts a process with settings like those of the template.
 func (r *rig) startDaemon(d *daemon) error {
+	r.starting.Lock()
+	defer r.starting.Unlock()
+	if err := r.ctx.Err(); err != nil {
+		return err
+	}
 	var seeds []string
 	for _, o := range r.daemons {
 		seeds = append(seeds, o.peer)
