--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -22,7 +22,6 @@
 var cases = map[string]func(*rig) (broken bool, err error){
 	"stale-refusal": staleRefusal,
 	"timed-out":     timedOut,
-	"allowance":     rolledAllowance,
 	"slow-reader":   slowReader,
 }
 
--- a/review/rig2/slowreader.go
+++ b/review/rig2/slowreader.go
@@ -44,6 +44,12 @@
 		}
 	}
 	r.record("20 small exports were answered in calm")
+	r.awaitContact()
+	named, err := resolve(leaving, regions[leaving.zone], leaving.zone)
+	if err != nil || !slices.Contains(named, leaving.front) {
+		return false, fmt.Errorf("the directory doesn't name %s: %v, %w", leaving.name, named, err)
+	}
+	r.record("the clients' directory names %v", named)
 	term := time.Now()
 	if r.trouble {
 		if err := leaving.cmd.Process.Signal(syscall.SIGTERM); err != nil {
--- a/review/rig2/stalerefusal.go
+++ b/review/rig2/stalerefusal.go
@@ -14,7 +14,7 @@
 const (
 	refusalBudget = 2 * time.Second
 	// spoiledShare is the share of the answers that a faulty server spoils, and spoiledFor for how long.
-	spoiledShare = 0.05
+	spoiledShare = 0.03
 	spoiledFor   = 5 * time.Second
 	// callersPerDaemon is the number of clients of each daemon. They are more than the servers have slots and queue for, so that the
 	// servers refuse some requests.
@@ -24,7 +24,7 @@
 // staleRefusal lets some servers write the first part of an earlier refusal once more on a kept connection, where the next answer is
 // expected. The rule REFUSED is broken if a client is told 503 for a booking that a server ran, and TWICE if a booking runs twice.
 func staleRefusal(r *rig) (bool, error) {
-	routes := []site.Route{{Name: "bookings", Prefix: "/bookings/", Kind: "unsafe", Pool: "booking-api", Attempts: 3}}
+	routes := []site.Route{{Name: "bookings", Prefix: "/bookings/", Kind: "unsafe", Pool: "booking-api", Attempts: 2}}
 	servers := newServers("booking-api", 5, 2, 1, 25*time.Millisecond)
 	for _, s := range servers[:3] {
 		s.before = r.spoil(s)
@@ -32,6 +32,7 @@
 	if err := r.start(routes, servers, "lima-a", "lima-b"); err != nil {
 		return false, err
 	}
+	r.awaitContact()
 	begin := time.Now()
 	end := begin.Add(spoiledFor + time.Second)
 	var group sync.WaitGroup
--- a/review/rig2/timedout.go
+++ b/review/rig2/timedout.go
@@ -31,6 +31,7 @@
 	if err := r.start(routes, newServers("report-api", 6, 6, 18, reportWork), "lima-a", "lima-b"); err != nil {
 		return false, err
 	}
+	r.awaitContact()
 	if r.trouble {
 		routes[0].Timeout = shortTimeout
 		if err := r.site.Configure(routes); err != nil {
